--- /dev/null
+++ b/damaskdyke/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: the daemon's own file and the published tree of branches."""
--- /dev/null
+++ b/damaskdyke/core/__init__.py
@@ -0,0 +1,1 @@
+"""Kernel: clock, ids, errors, registries and the component bus."""
--- /dev/null
+++ b/damaskdyke/core/checks/__init__.py
@@ -0,0 +1,6 @@
+"""Registry of checks that report every settings error at once."""
+
+from damaskdyke.core.checks.messages import CheckMessage
+from damaskdyke.core.checks.registry import branch_checks, tree_checks
+
+__all__ = ["CheckMessage", "branch_checks", "tree_checks"]
--- /dev/null
+++ b/damaskdyke/core/management/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: the base of commands and their discovery."""
--- /dev/null
+++ b/damaskdyke/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Settings branches: reading, relaying between peers, and the view in force."""
--- /dev/null
+++ b/damaskdyke/distribution/view.py
@@ -0,0 +1,75 @@
+"""Immutable view of all settings in force, with the route table."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from damaskdyke.conf.tree import VM_BRANCH, Branch, Rule, Service, Vm, VmState
+from damaskdyke.core.ids import Address, ServiceName, WorkspaceName
+
+
+@dataclass(frozen=True)
+class Workspace:
+    """A caller's workspace and how many requests it may have in flight."""
+
+    name: WorkspaceName
+    in_flight: int
+
+
+class View:
+    """Settings of every branch, ready for look-ups.
+
+    Where two branches claim one service name or route prefix, the branch whose name
+    sorts first keeps it on every proxy, whatever the order of arrival.
+
+    Parameters
+    ----------
+    branches : iterable of Branch
+        The branches in force.
+    """
+
+    def __init__(self, branches: Iterable[Branch] = ()):
+        self.services: dict[ServiceName, Service] = {}
+        self.vms: tuple[Vm, ...] = ()
+        self._routes: dict[str, ServiceName] = {}
+        self._workspaces: dict[WorkspaceName, Branch] = {}
+        self.branches = tuple(sorted(branches, key=lambda branch: branch.name))
+        for branch in self.branches:
+            self._add(branch)
+        self.leaving: frozenset[Address] = frozenset(
+            vm.address for vm in self.vms if vm.state is VmState.LEAVING
+        )
+
+    def _add(self, branch: Branch) -> None:
+        if branch.name == VM_BRANCH:
+            self.vms = branch.vms
+        for service in branch.services:
+            self.services.setdefault(service.name, service)
+        for route in branch.routes:
+            self._routes.setdefault(route.prefix, route.service)
+        for name in branch.workspaces:
+            self._workspaces.setdefault(name, branch)
+
+    def find_service(self, path: str) -> Service | None:
+        """Return the service of the longest route prefix that covers a path."""
+        end = len(path)
+        while end > 0:
+            name = self._routes.get(path[:end])
+            if name is not None:
+                return self.services.get(name)
+            end = path.rfind("/", 0, end - 1) + 1
+        return None
+
+    def find_workspace(self, name: str) -> Workspace | None:
+        """Return the limits of a workspace, if a branch lists it."""
+        branch = self._workspaces.get(WorkspaceName(name))
+        if branch is None:
+            return None
+        return Workspace(WorkspaceName(name), branch.workspace_in_flight)
+
+
+def find_rule(service: Service, method: str, path: str) -> Rule | None:
+    """Return the first rule of a service that covers a request."""
+    for rule in service.rules:
+        if rule.covers(method, path):
+            return rule
+    return None
--- /dev/null
+++ b/damaskdyke/front/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers, the balancer and operators."""
--- /dev/null
+++ b/damaskdyke/front/lifecycle.py
@@ -0,0 +1,101 @@
+"""Life of a proxy as callers and the balancer see it."""
+
+import logging
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from enum import Enum
+
+from damaskdyke.core.clock import Deadline
+from damaskdyke.core.kernel import Component, Kernel, components
+from damaskdyke.distribution.component import Settings, Standing
+from damaskdyke.membership.component import Membership
+from damaskdyke.orders.component import Orders
+from damaskdyke.utils.logs import log_event
+
+logger = logging.getLogger("damaskdyke.lifecycle")
+
+DRAIN_POLL_MS = 20
+
+
+class Phase(Enum):
+    """Phase of a proxy process."""
+
+    STARTING = "starting"
+    READY = "ready"
+    ISOLATED = "isolated"
+    DRAINING = "draining"
+
+
+@components.register("lifecycle")
+class Lifecycle(Component):
+    """Readiness, requests in flight, and the planned stop."""
+
+    def __init__(self, kernel: Kernel):
+        super().__init__(kernel)
+        self._settings = kernel.get(Settings)
+        self._orders = kernel.get(Orders)
+        self._membership = kernel.get(Membership)
+        self._timing = kernel.settings.timing
+        self._lock = threading.Lock()
+        self._in_flight = 0
+        self._is_draining = False
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self._is_draining
+
+    def find_phase(self) -> Phase:
+        """Return the present phase."""
+        if self._is_draining:
+            return Phase.DRAINING
+        standing = self._settings.standing()
+        if standing is Standing.BOOTING:
+            return Phase.STARTING
+        if standing is Standing.ISOLATED:
+            return Phase.ISOLATED
+        return Phase.READY
+
+    def count_in_flight(self) -> int:
+        """Return how many requests of callers are being answered."""
+        with self._lock:
+            return self._in_flight
+
+    @contextmanager
+    def count(self) -> Iterator[None]:
+        """Count one request in flight."""
+        with self._lock:
+            self._in_flight += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._in_flight -= 1
+
+    def drain(self) -> None:
+        """Stop by plan: finish what is in flight, hand the ledgers over, leave.
+
+        The balancer's health turns first, so that it sends nothing new before
+        anything else changes.
+        """
+        self._is_draining = True
+        self._orders.stop_issuing()
+        log_event(logger, "drain", step="notice", in_flight=self.count_in_flight())
+        self._wait_for_notice()
+        self._wait_until_idle()
+        log_event(logger, "drain", step="hand-over", in_flight=self.count_in_flight())
+        self._orders.hand_over_all()
+        self._membership.leave()
+        self._wait_until_idle()
+        log_event(logger, "drain", step="done", in_flight=self.count_in_flight())
+
+    def _wait_for_notice(self) -> None:
+        self.kernel.clock.sleep(self._timing.drain_notice_ms)
+
+    def _wait_until_idle(self) -> None:
+        deadline = Deadline(self.kernel.clock, self._timing.drain_limit_ms)
+        while not deadline.is_past():
+            if not self.count_in_flight() and not self._orders.count_busy():
+                return
+            self.kernel.clock.sleep(DRAIN_POLL_MS)
--- /dev/null
+++ b/damaskdyke/front/requests.py
@@ -0,0 +1,170 @@
+"""Reading of callers' requests from the WSGI environment."""
+
+from damaskdyke.core.clock import Clock, Deadline
+from damaskdyke.core.errors import ErrorKind, ProxyError
+from damaskdyke.core.ids import RequestId, WorkspaceName
+from damaskdyke.upstreams.messages import (
+    DEADLINE_HEADER,
+    HOP_HEADERS,
+    REQUEST_ID_HEADER,
+    TICKET_HEADER,
+    Header,
+    Request,
+)
+from damaskdyke.utils.randomness import draw_request_id
+
+WORKSPACE_HEADER = "Workspace"
+MAX_DEADLINE_DIGITS = 9
+MAX_REQUEST_ID_LENGTH = 64
+LENGTH_UNKNOWN = -1
+READ_BYTES = 65_536
+
+Environ = dict
+
+
+def read_path(environ: Environ) -> str:
+    """Return the path of a request, still quoted.
+
+    Raises
+    ------
+    ProxyError
+        ``bad-request`` if the target is not a path.
+    """
+    target = read_target(environ)
+    path = target.split("?", 1)[0]
+    if "/../" in path + "/" or "//" in path:
+        raise ProxyError(ErrorKind.BAD_REQUEST, "the path has empty or '..' segments")
+    return path
+
+
+def read_target(environ: Environ) -> str:
+    """Return the request target: quoted path and query."""
+    target = environ.get("REQUEST_URI", "")
+    if not target.startswith("/") or not target.isascii() or not target.isprintable():
+        raise ProxyError(ErrorKind.BAD_REQUEST, "the target is not a path")
+    return target
+
+
+def read_request_id(environ: Environ) -> RequestId:
+    """Return the caller's request id if it is usable, else a new one."""
+    given = find_header(environ, REQUEST_ID_HEADER)
+    is_usable = given.replace("-", "").isalnum() and given.isascii()
+    if is_usable and len(given) <= MAX_REQUEST_ID_LENGTH:
+        return RequestId(given)
+    return draw_request_id()
+
+
+def find_header(environ: Environ, name: str) -> str:
+    """Return the value of a request header, or an empty text."""
+    return environ.get("HTTP_" + name.upper().replace("-", "_"), "")
+
+
+def read_deadline(environ: Environ, clock: Clock, limit_ms: int) -> Deadline:
+    """Return the caller's deadline within the limit of the rule.
+
+    Raises
+    ------
+    ProxyError
+        ``bad-request`` if it is not a number, ``deadline-expired`` if it is zero.
+    """
+    text = find_header(environ, DEADLINE_HEADER)
+    if not text:
+        return Deadline(clock, limit_ms)
+    if not (text.isascii() and text.isdigit()) or len(text) > MAX_DEADLINE_DIGITS:
+        detail = f"{DEADLINE_HEADER} is not a number of milliseconds"
+        raise ProxyError(ErrorKind.BAD_REQUEST, detail)
+    if int(text) == 0:
+        raise ProxyError(ErrorKind.DEADLINE_EXPIRED, "the deadline has passed")
+    return Deadline(clock, min(limit_ms, int(text)))
+
+
+def read_workspace(environ: Environ) -> WorkspaceName:
+    """Return the caller's workspace, empty if none is named."""
+    return WorkspaceName(find_header(environ, WORKSPACE_HEADER)[:64])
+
+
+def read_length(environ: Environ, limit: int) -> int:
+    """Return the announced length of the body, or :data:`LENGTH_UNKNOWN`.
+
+    Raises
+    ------
+    ProxyError
+        ``body-too-large`` or ``bad-request``.
+    """
+    if "chunked" in find_header(environ, "Transfer-Encoding").lower():
+        return LENGTH_UNKNOWN
+    text = environ.get("CONTENT_LENGTH") or "0"
+    if not (text.isascii() and text.isdigit()):
+        raise ProxyError(ErrorKind.BAD_REQUEST, "Content-Length is not a number")
+    length = int(text)
+    if length > limit:
+        raise ProxyError(ErrorKind.BODY_TOO_LARGE, f"{length} bytes, limit {limit}")
+    return length
+
+
+def read_body(environ: Environ, length: int, limit: int) -> bytes:
+    """Return the whole body.
+
+    Raises
+    ------
+    ProxyError
+        ``bad-request`` if the caller cut it short, ``body-too-large`` if a chunked
+        body goes on past the limit.
+    """
+    stream = environ["wsgi.input"]
+    if length == 0:
+        return b""
+    wanted = limit + 1 if length == LENGTH_UNKNOWN else length
+    parts = []
+    got = 0
+    while got < wanted:
+        part = read_some(stream, min(READ_BYTES, wanted - got))
+        if not part:
+            break
+        parts.append(part)
+        got += len(part)
+    if got > limit:
+        raise ProxyError(ErrorKind.BODY_TOO_LARGE, f"more than {limit} bytes")
+    if length != LENGTH_UNKNOWN and got != length:
+        raise ProxyError(ErrorKind.BAD_REQUEST, f"{got} of {length} body bytes")
+    return b"".join(parts)
+
+
+def read_some(stream, size: int) -> bytes:
+    """Return some bytes of a body; a broken stream is a bad request."""
+    try:
+        return stream.read(size)
+    except (OSError, ValueError) as error:
+        detail = f"the body could not be read: {error}"
+        raise ProxyError(ErrorKind.BAD_REQUEST, detail) from error
+
+
+def read_headers(environ: Environ) -> tuple[Header, ...]:
+    """Return the request headers that may be passed on."""
+    headers = []
+    for key, value in environ.items():
+        if key == "CONTENT_TYPE":
+            if value:
+                headers.append(Header("content-type", value))
+        elif key.startswith("HTTP_"):
+            name = key[5:].replace("_", "-").lower()
+            if name not in HOP_HEADERS:
+                headers.append(Header(name, value))
+    return tuple(headers)
+
+
+def make_request(
+    environ: Environ, request_id: RequestId, path: str, deadline: Deadline, body: bytes
+) -> Request:
+    """Return the typed request."""
+    return Request(
+        id=request_id,
+        method=environ["REQUEST_METHOD"],
+        path=path,
+        target=read_target(environ),
+        headers=read_headers(environ),
+        body=body,
+        deadline=deadline,
+        workspace=read_workspace(environ),
+        ticket=find_header(environ, TICKET_HEADER),
+    )
--- /dev/null
+++ b/damaskdyke/front/server.py
@@ -0,0 +1,78 @@
+"""CherryPy's HTTP server around the application."""
+
+import logging
+import threading
+
+from cheroot.wsgi import Gateway_10, Server
+
+from damaskdyke.conf.schemas import MAX_BODY_BYTES
+from damaskdyke.core.kernel import Component, Kernel, components
+from damaskdyke.front.application import Application
+from damaskdyke.front.lifecycle import Lifecycle
+from damaskdyke.utils.logs import log_event
+
+logger = logging.getLogger("damaskdyke.http")
+
+MAX_HEADER_BYTES = 32_768
+IDLE_SECONDS = 15
+SHUTDOWN_SECONDS = 5
+BACKLOG = 512
+ACCEPT_LIMIT = 2_000
+
+
+def make_gateway(lifecycle: Lifecycle) -> type[Gateway_10]:
+    """Return a gateway that counts requests until their last byte is written."""
+
+    class CountingGateway(Gateway_10):
+        """Gateway of one request."""
+
+        def respond(self) -> None:
+            """Answer the request; while draining, close its connection after."""
+            if lifecycle.is_draining:
+                self.req.close_connection = True
+            with lifecycle.count():
+                super().respond()
+
+    return CountingGateway
+
+
+class FrontServer(Server):
+    """CherryPy's server with its messages in the log."""
+
+    def error_log(self, msg="", level=logging.INFO, traceback=False) -> None:
+        """Log a message of the server."""
+        log_event(logger, "server", logging.DEBUG, message=msg)
+
+
+@components.register("front")
+class Front(Component):
+    """Listener for callers."""
+
+    def __init__(self, kernel: Kernel):
+        super().__init__(kernel)
+        host, port = kernel.settings.address.rsplit(":", 1)
+        self._server = FrontServer(
+            (host, int(port)),
+            Application(kernel),
+            numthreads=kernel.settings.threads,
+            request_queue_size=BACKLOG,
+            timeout=IDLE_SECONDS,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+            accepted_queue_size=ACCEPT_LIMIT,
+        )
+        self._server.gateway = make_gateway(kernel.get(Lifecycle))
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.nodelay = True
+        self._thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Listen."""
+        self._server.prepare()
+        self._thread = threading.Thread(target=self._server.serve, name="front")
+        self._thread.daemon = True
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the listener and wait for the last requests."""
+        self._server.stop()
--- /dev/null
+++ b/damaskdyke/health/component.py
@@ -0,0 +1,285 @@
+"""Health component: states of all upstreams and the exchange of evidence."""
+
+import logging
+import threading
+from dataclasses import dataclass
+
+from damaskdyke.conf.tree import Service, Upstream
+from damaskdyke.core.clock import Millis
+from damaskdyke.core.ids import Address, ServiceName, UpstreamId
+from damaskdyke.core.kernel import Component, Kernel, components
+from damaskdyke.distribution.component import Settings, Standing
+from damaskdyke.health import corroborated as _corroborated  # noqa: F401
+from damaskdyke.health.evidence import EvidenceRecord, EvidenceStore, read_evidence
+from damaskdyke.health.floor import FloorGuard
+from damaskdyke.health.policies import ejection_policies
+from damaskdyke.health.pulse import ServicePulse
+from damaskdyke.health.states import FitState, Outcome, OutcomeKind, UpstreamHealth
+from damaskdyke.membership.component import Membership
+from damaskdyke.membership.parts import ExchangePart
+from damaskdyke.membership.rumors import RumorQueue
+from damaskdyke.metrics.instruments import Metrics
+from damaskdyke.peers.gen.peer.ttypes import Exchange
+from damaskdyke.utils.logs import log_event
+
+logger = logging.getLogger("damaskdyke.health")
+
+REVIEW_MS = 200
+EVIDENCE_BATCH = 32
+PUBLISH_INTERVAL_MS = 150
+
+
+@dataclass(frozen=True)
+class Candidates:
+    """Upstreams of a service in the order of preference.
+
+    Parameters
+    ----------
+    fit : tuple of UpstreamHealth
+        Open to ordinary requests.
+    reserve : tuple of UpstreamHealth
+        Demoted or avoided; used only when no fit upstream has a free slot.
+    """
+
+    fit: tuple[UpstreamHealth, ...]
+    reserve: tuple[UpstreamHealth, ...]
+
+
+@components.register("health")
+class Health(Component, ExchangePart):
+    """States of the upstreams of every service."""
+
+    def __init__(self, kernel: Kernel):
+        super().__init__(kernel)
+        self.clock = kernel.clock
+        self.zone = kernel.settings.zone
+        self._membership = kernel.get(Membership)
+        self._settings = kernel.get(Settings)
+        self._metrics = kernel.get(Metrics)
+        self._lock = threading.RLock()
+        self._items: dict[UpstreamId, UpstreamHealth] = {}
+        self._pulses: dict[ServiceName, ServicePulse] = {}
+        self._candidates: dict[ServiceName, Candidates] = {}
+        self._floor = FloorGuard(kernel.clock)
+        self._evidence = EvidenceStore(kernel.clock)
+        self._rumors: RumorQueue[EvidenceRecord] = RumorQueue(EVIDENCE_BATCH)
+        self._sequence = 0
+        self._policy = ejection_policies.get(kernel.settings.policies.ejection)(self)
+        self._membership.add_part(self)
+        self.bus.subscribe("settings", self._drop_candidates)
+
+    @property
+    def uses_evidence(self) -> bool:
+        """Return whether the policy exchanges evidence with peers."""
+        return self._policy.uses_evidence
+
+    def start(self) -> None:
+        """Begin to review upstreams that are not fit."""
+        self.kernel.spawn("health-review", self._run)
+
+    def _run(self) -> None:
+        while not self.kernel.wait(REVIEW_MS):
+            now = self.clock.now()
+            for item in self.list_unfit():
+                self._policy.review(item, now)
+
+    # What routing asks.
+
+    def list_candidates(self, service: Service) -> Candidates:
+        """Return the upstreams that requests of a service may go to."""
+        known = self._candidates.get(service.name)
+        if known is not None:
+            return known
+        with self._lock:
+            made = self._make_candidates(service)
+            self._candidates[service.name] = made
+            return made
+
+    def _make_candidates(self, service: Service) -> Candidates:
+        leaving = self._settings.view.leaving
+        fit, reserve = [], []
+        for item in self.list_items(service):
+            if item.upstream.address in leaving:
+                continue
+            if item.state is FitState.FIT:
+                fit.append(item)
+            elif item.state is not FitState.EJECTED:
+                reserve.append(item)
+        return Candidates(tuple(fit), tuple(reserve))
+
+    def _drop_candidates(self) -> None:
+        with self._lock:
+            self._candidates = {}
+            self._pulses = {}
+
+    # What policies and trials ask.
+
+    def find_item(self, service: Service, upstream: Upstream) -> UpstreamHealth:
+        """Return the record of one upstream, made on first use."""
+        item = self._items.get(upstream.id)
+        if item is not None and item.upstream == upstream:
+            item.service = service
+            return item
+        with self._lock:
+            item = UpstreamHealth(service, upstream)
+            self._items[upstream.id] = item
+            return item
+
+    def list_items(self, service: Service) -> list[UpstreamHealth]:
+        """Return the records of every upstream of a service."""
+        return [self.find_item(service, upstream) for upstream in service.upstreams]
+
+    def find_by_id(self, upstream: UpstreamId) -> UpstreamHealth | None:
+        """Return the record of an upstream of the settings in force."""
+        return self._items.get(upstream)
+
+    def list_unfit(self) -> list[UpstreamHealth]:
+        """Return the upstreams that are out of ordinary rotation."""
+        items = list(self._items.values())
+        return [item for item in items if item.state is not FitState.FIT]
+
+    def find_pulse(self, service: Service) -> ServicePulse:
+        """Return the recent latency of a service."""
+        pulse = self._pulses.get(service.name)
+        if pulse is None:
+            with self._lock:
+                pulse = self._pulses.setdefault(service.name, ServicePulse(service))
+        return pulse
+
+    def list_ejectable(self, service: Service) -> frozenset[UpstreamId]:
+        """Return the upstreams that may be ejected; none without confirmed settings."""
+        if self._settings.standing() is not Standing.CONFIRMED:
+            return frozenset()
+        with self._lock:
+            return self._floor.list_ejectable(service, self._settings.view.leaving)
+
+    def count_members(self) -> int:
+        """Return how many proxies are alive."""
+        return self._membership.count_alive()
+
+    def record(self, item: UpstreamHealth, outcome: Outcome) -> None:
+        """Take in what a request said about its upstream."""
+        now = self.clock.now()
+        item.last_outcome_at = now
+        self._policy.note(item, outcome, now)
+
+    def judge_duration(self, item: UpstreamHealth, duration_ms: int) -> Outcome:
+        """Return the outcome of a whole and correct reply to a short lookup."""
+        pulse = self.find_pulse(item.service)
+        pulse.add(self.clock.now(), item.upstream.id, duration_ms)
+        is_slow = duration_ms > pulse.slow_ms
+        kind = OutcomeKind.SLOW if is_slow else OutcomeKind.GOOD
+        return Outcome(kind, duration_ms)
+
+    def set_state(self, item: UpstreamHealth, state: FitState, reason: str) -> None:
+        """Change the state of an upstream and log it."""
+        now = self.clock.now()
+        before = item.state
+        item.state = state
+        item.since = now
+        if state is FitState.FIT:
+            item.restored_at = now
+            with item.lock:
+                item.window.clear()
+        with self._lock:
+            self._candidates.pop(item.service.name, None)
+        if state is FitState.EJECTED:
+            self._metrics.ejections.add(1, {"service": item.service.name})
+        log_event(
+            logger,
+            "upstream-state",
+            service=item.service.name,
+            upstream=item.upstream.id,
+            before=before.value,
+            after=state.value,
+            reason=reason,
+        )
+
+    # Evidence.
+
+    def publish(self, item: UpstreamHealth, is_urgent: bool = False) -> None:
+        """Spread this proxy's counts for an upstream."""
+        now = self.clock.now()
+        if now - item.published_at < PUBLISH_INTERVAL_MS and not is_urgent:
+            return
+        item.published_at = now
+        record = self._make_record(item, now)
+        self._evidence.merge([record])
+        self._spread(record)
+        if is_urgent:
+            self._membership.spread_now()
+            self.bus.publish("accused", item)
+
+    def _make_record(self, item: UpstreamHealth, now: Millis) -> EvidenceRecord:
+        with self._lock:
+            self._sequence += 1
+            sequence = self._sequence
+        with item.lock:
+            counts = item.window.count(now)
+        return EvidenceRecord(
+            origin=self.kernel.settings.peer_address,
+            boot=self.kernel.boot,
+            sequence=sequence,
+            zone=self.zone,
+            upstream=item.upstream.id,
+            counts=counts,
+            measured_at=now,
+        )
+
+    def _spread(self, record: EvidenceRecord) -> None:
+        key = (record.upstream, record.origin)
+        self._rumors.put(key, record, self._membership.count_alive())
+
+    def collect_records(self, item: UpstreamHealth) -> list[EvidenceRecord]:
+        """Return the fresh records of every origin, with this proxy's own counts."""
+        own = self.kernel.settings.peer_address
+        records = [
+            record
+            for record in self._evidence.list_fresh(item.upstream.id)
+            if record.origin != own
+        ]
+        record = self._make_record(item, self.clock.now())
+        if record.counts.total:
+            records.append(record)
+        return records
+
+    def fill(self, offer: Exchange) -> None:
+        """Add evidence to an exchange."""
+        now = self.clock.now()
+        offer.evidence = [record.to_message(now) for record in self._rumors.take()]
+
+    def read(self, sender: Address, offer: Exchange) -> None:
+        """Take in evidence from a peer."""
+        if not offer.evidence or not self.uses_evidence:
+            return
+        now = self.clock.now()
+        own = self.kernel.settings.peer_address
+        records = [read_evidence(message, now) for message in offer.evidence]
+        added = self._evidence.merge(item for item in records if item.origin != own)
+        for record in added:
+            self._spread(record)
+        for upstream in {record.upstream for record in added}:
+            self._react(upstream, now)
+        if added:
+            self._membership.spread_now()
+
+    def _react(self, upstream: UpstreamId, now: Millis) -> None:
+        item = self._find_listed(upstream)
+        if item is None:
+            return
+        self.bus.publish("accused", item)
+        with item.lock:
+            has_counts = item.window.count(now).total > 0
+        if has_counts:
+            self.publish(item)
+        self._policy.review(item, now)
+
+    def _find_listed(self, upstream: UpstreamId) -> UpstreamHealth | None:
+        item = self._items.get(upstream)
+        if item is not None:
+            return item
+        for service in self._settings.view.services.values():
+            for candidate in service.upstreams:
+                if candidate.id == upstream:
+                    return self.find_item(service, candidate)
+        return None
--- /dev/null
+++ b/damaskdyke/health/corroborated.py
@@ -0,0 +1,107 @@
+"""The product's ejection policy: evidence of many proxies, paths told from faults."""
+
+from damaskdyke.core.clock import Millis
+from damaskdyke.health.evidence import EvidenceRecord
+from damaskdyke.health.policies import EjectionPolicy, ejection_policies
+from damaskdyke.health.pulse import Comparison
+from damaskdyke.health.states import FitState, Outcome, OutcomeKind, UpstreamHealth
+from damaskdyke.health.verdict import Verdict, judge
+
+# Hysteresis: each new demotion within the memory doubles the hold, up to the limit.
+FIRST_HOLD_MS = 2_000
+LONGEST_HOLD_MS = 6_000
+FLAP_MEMORY_MS = 60_000
+GOOD_FOR_RETURN = 5
+ORIGINS_FOR_RETURN = 2
+AVOID_MS = 2_000
+
+
+@ejection_policies.register("corroborated")
+class CorroboratedEjection(EjectionPolicy):
+    """Demote on the evidence of several proxies; eject where the floor allows it."""
+
+    uses_evidence = True
+
+    def note(self, item: UpstreamHealth, outcome: Outcome, now: Millis) -> None:
+        """Count the outcome, and publish it if it accuses the upstream."""
+        kind = self._settle_slow(item, outcome, now)
+        if kind is OutcomeKind.NEUTRAL:
+            return
+        with item.lock:
+            if kind is not OutcomeKind.SLOW:
+                item.window.add(now, kind is OutcomeKind.GOOD)
+        if kind is OutcomeKind.GOOD:
+            if item.state is not FitState.FIT:
+                self.health.publish(item)
+            return
+        self.health.publish(item, is_urgent=True)
+        self.review(item, now)
+
+    def _settle_slow(
+        self, item: UpstreamHealth, outcome: Outcome, now: Millis
+    ) -> OutcomeKind:
+        """Return what a slow outcome counts as, given how the others fare.
+
+        Without enough recent lookups for a comparison it stays ``SLOW``, which asks
+        the watchers for trial requests and is no vote.
+        """
+        if outcome.kind is not OutcomeKind.SLOW:
+            return outcome.kind
+        pulse = self.health.find_pulse(item.service)
+        comparison = pulse.compare(now, item.upstream.id)
+        if comparison is Comparison.OTHERS_FAST:
+            return OutcomeKind.BAD
+        if comparison is Comparison.OTHERS_SLOW:
+            return OutcomeKind.NEUTRAL
+        return OutcomeKind.SLOW
+
+    def review(self, item: UpstreamHealth, now: Millis) -> None:
+        """Set the state that the fresh evidence calls for."""
+        records = self.health.collect_records(item)
+        with item.lock:
+            own = item.window.count(now)
+        verdict = judge(records, self.health.zone, own)
+        if verdict is Verdict.FAULTY:
+            self._take_out(item, now)
+        elif verdict is Verdict.PATH_FAULTY:
+            self._avoid(item, now)
+        elif item.state is not FitState.FIT and now >= item.hold_until:
+            self._consider_return(item, verdict, records)
+
+    def _take_out(self, item: UpstreamHealth, now: Millis) -> None:
+        ejectable = self.health.list_ejectable(item.service)
+        is_ejectable = item.upstream.id in ejectable
+        state = FitState.EJECTED if is_ejectable else FitState.DEMOTED
+        if item.state in (FitState.FIT, FitState.AVOIDED):
+            self._lengthen_hold(item, now)
+        if item.state is not state:
+            reason = "evidence" if is_ejectable else "evidence-floor"
+            self.health.set_state(item, state, reason)
+
+    def _lengthen_hold(self, item: UpstreamHealth, now: Millis) -> None:
+        if now - item.since > FLAP_MEMORY_MS:
+            item.demotions = 0
+        hold = min(LONGEST_HOLD_MS, FIRST_HOLD_MS << min(item.demotions, 8))
+        item.demotions += 1
+        item.hold_until = Millis(now + hold)
+
+    def _avoid(self, item: UpstreamHealth, now: Millis) -> None:
+        if item.state is not FitState.FIT:
+            return
+        item.hold_until = Millis(now + AVOID_MS)
+        self.health.set_state(item, FitState.AVOIDED, "path")
+
+    def _consider_return(
+        self, item: UpstreamHealth, verdict: Verdict, records: list[EvidenceRecord]
+    ) -> None:
+        good = sum(record.counts.good for record in records)
+        origins = sum(1 for record in records if record.counts.good)
+        if item.state is FitState.AVOIDED:
+            self.health.set_state(item, FitState.FIT, "hold-over")
+            return
+        if not item.service.probe_path:
+            self.health.set_state(item, FitState.FIT, "hold-over")
+            return
+        needed = min(ORIGINS_FOR_RETURN, self.health.count_members())
+        if verdict is Verdict.FIT and good >= GOOD_FOR_RETURN and origins >= needed:
+            self.health.set_state(item, FitState.FIT, "trials-passed")
--- /dev/null
+++ b/damaskdyke/health/policies.py
@@ -0,0 +1,80 @@
+"""Registered ejection policies: the product's and the baselines."""
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from damaskdyke.core.clock import Millis
+from damaskdyke.core.registry import Registry
+from damaskdyke.health.states import FitState, Outcome, OutcomeKind, UpstreamHealth
+
+if TYPE_CHECKING:
+    from damaskdyke.health.component import Health
+
+
+class EjectionPolicy(ABC):
+    """Decides on the state of upstreams from observed outcomes.
+
+    Parameters
+    ----------
+    health : Health
+        Component whose states the policy sets.
+    """
+
+    # Whether trial requests and the exchange of evidence take place.
+    uses_evidence = False
+
+    def __init__(self, health: "Health"):
+        self.health = health
+
+    @abstractmethod
+    def note(self, item: UpstreamHealth, outcome: Outcome, now: Millis) -> None:
+        """Take in one outcome of an ordinary or trial request."""
+
+    def review(self, item: UpstreamHealth, now: Millis) -> None:
+        """Look again at an upstream that is not fit."""
+
+
+ejection_policies: Registry[type[EjectionPolicy]] = Registry("ejection policy")
+
+
+@ejection_policies.register("none")
+class NoEjection(EjectionPolicy):
+    """Baseline that never takes an upstream out of rotation."""
+
+    def note(self, item: UpstreamHealth, outcome: Outcome, now: Millis) -> None:
+        """Do nothing."""
+
+
+@ejection_policies.register("consecutive")
+class ConsecutiveEjection(EjectionPolicy):
+    """Baseline of a proxy alone: consecutive errors and a largest ejected share."""
+
+    errors = 5
+    eject_ms = 30_000
+    max_share = 0.5
+
+    def note(self, item: UpstreamHealth, outcome: Outcome, now: Millis) -> None:
+        """Eject after a row of bad outcomes."""
+        if outcome.kind is OutcomeKind.NEUTRAL:
+            return
+        if outcome.kind is OutcomeKind.GOOD:
+            item.consecutive_bad = 0
+            return
+        item.consecutive_bad += 1
+        if item.consecutive_bad < self.errors or item.state is not FitState.FIT:
+            return
+        if self._is_share_used(item):
+            return
+        item.consecutive_bad = 0
+        item.hold_until = Millis(now + self.eject_ms)
+        self.health.set_state(item, FitState.EJECTED, "consecutive-errors")
+
+    def _is_share_used(self, item: UpstreamHealth) -> bool:
+        pool = self.health.list_items(item.service)
+        ejected = sum(1 for other in pool if other.state is FitState.EJECTED)
+        return ejected + 1 > self.max_share * len(pool)
+
+    def review(self, item: UpstreamHealth, now: Millis) -> None:
+        """Take the upstream back when its time is over."""
+        if now >= item.hold_until:
+            self.health.set_state(item, FitState.FIT, "time-over")
--- /dev/null
+++ b/damaskdyke/health/pulse.py
@@ -0,0 +1,100 @@
+"""Recent latency of a whole service, to tell a slow upstream from high demand."""
+
+import statistics
+import threading
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+
+from damaskdyke.conf.tree import Service
+from damaskdyke.core.clock import Millis
+from damaskdyke.core.ids import UpstreamId
+
+SAMPLES = 64
+RECENT_MS = 3_000
+# Least number of recent samples of other upstreams for a comparison.
+MIN_COMPARED = 4
+DEMAND_SHARE = 0.3
+SLOW_FACTOR = 5
+MIN_SLOW_MS = 60
+DEFAULT_SLOW_MS = 250
+HEDGE_PERCENTILE = 95
+MIN_HEDGE_MS = 5
+
+
+class Comparison(Enum):
+    """How the other upstreams of a service fare at the moment."""
+
+    OTHERS_FAST = "others-fast"
+    OTHERS_SLOW = "others-slow"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """Duration of one lookup."""
+
+    at: Millis
+    upstream: UpstreamId
+    duration_ms: int
+    is_slow: bool
+
+
+class ServicePulse:
+    """Durations of a service's recent short lookups on this proxy."""
+
+    def __init__(self, service: Service):
+        self._configured_ms = service.slow_ms
+        self._lock = threading.Lock()
+        self._samples: deque[Sample] = deque(maxlen=SAMPLES)
+        self._slow_ms = service.slow_ms or DEFAULT_SLOW_MS
+        self._since_update = 0
+        self._hedge_ms = self._slow_ms
+
+    @property
+    def hedge_ms(self) -> int:
+        """Return the duration after which a lookup is worth a hedge."""
+        return self._hedge_ms
+
+    @property
+    def slow_ms(self) -> int:
+        """Return the duration above which a short lookup is slow."""
+        return self._slow_ms
+
+    def add(self, now: Millis, upstream: UpstreamId, duration_ms: int) -> None:
+        """Take in the duration of one lookup."""
+        is_slow = duration_ms > self._slow_ms
+        sample = Sample(now, upstream, duration_ms, is_slow)
+        with self._lock:
+            self._samples.append(sample)
+            self._since_update += 1
+            if self._since_update >= SAMPLES // 4:
+                self._since_update = 0
+                self._update_thresholds()
+
+    def _update_thresholds(self) -> None:
+        fast = [item.duration_ms for item in self._samples if not item.is_slow]
+        if len(fast) < SAMPLES // 4:
+            return
+        median = statistics.median(fast)
+        if not self._configured_ms:
+            self._slow_ms = int(max(MIN_SLOW_MS, SLOW_FACTOR * median))
+        fast.sort()
+        late = fast[len(fast) * HEDGE_PERCENTILE // 100]
+        self._hedge_ms = max(MIN_HEDGE_MS, late)
+
+    def compare(self, now: Millis, upstream: UpstreamId) -> Comparison:
+        """Return how the other upstreams fare, as far as recent lookups tell."""
+        limit = now - RECENT_MS
+        with self._lock:
+            others = [
+                item
+                for item in self._samples
+                if item.at >= limit and item.upstream != upstream
+            ]
+        if len(others) < MIN_COMPARED:
+            return Comparison.UNKNOWN
+        slow = sum(1 for item in others if item.is_slow)
+        if slow >= DEMAND_SHARE * len(others):
+            return Comparison.OTHERS_SLOW
+        return Comparison.OTHERS_FAST
--- /dev/null
+++ b/damaskdyke/health/trials.py
@@ -0,0 +1,210 @@
+"""Trial requests: watchers test upstreams that are accused or see little traffic."""
+
+import logging
+import random
+import threading
+
+from damaskdyke.conf.tree import Service
+from damaskdyke.core.clock import Deadline, Millis
+from damaskdyke.core.ids import UpstreamId, WorkspaceName
+from damaskdyke.core.kernel import Component, Kernel, components
+from damaskdyke.distribution.component import Settings
+from damaskdyke.health.component import Health
+from damaskdyke.health.states import FitState, Outcome, OutcomeKind, UpstreamHealth
+from damaskdyke.membership.component import Membership
+from damaskdyke.membership.ring import Ring
+from damaskdyke.upstreams.calls import UpstreamCall
+from damaskdyke.upstreams.component import Upstreams
+from damaskdyke.upstreams.messages import Failure, Reply, Request, UpstreamError
+from damaskdyke.utils.logs import log_event
+from damaskdyke.utils.randomness import draw_request_id
+
+logger = logging.getLogger("damaskdyke.trials")
+
+WATCHERS = 3
+ROUTINE_MS = 1_500
+UNFIT_TRIAL_MS = 600
+TICK_MS = 100
+BURST_TRIALS = 8
+BURST_INTERVAL_MS = 80
+MAX_PARALLEL = 6
+TRIAL_TIMEOUT_FACTOR = 4
+MIN_TRIAL_TIMEOUT_MS = 250
+MAX_TRIAL_TIMEOUT_MS = 1_000
+TRIAL_WORKSPACE = WorkspaceName("trial")
+
+
+@components.register("trials")
+class Trials(Component):
+    """Sends trial requests to the upstreams that this proxy watches."""
+
+    def __init__(self, kernel: Kernel):
+        super().__init__(kernel)
+        self._clock = kernel.clock
+        self._health = kernel.get(Health)
+        self._membership = kernel.get(Membership)
+        self._settings = kernel.get(Settings)
+        self._upstreams = kernel.get(Upstreams)
+        self._own = kernel.settings.peer_address
+        self._lock = threading.Lock()
+        self._bursting: set[UpstreamId] = set()
+        self._slots = threading.BoundedSemaphore(MAX_PARALLEL)
+        self._ring = Ring([])
+        self._ring_version = -1
+        self._watched: list[UpstreamHealth] = []
+        self._due: dict[UpstreamId, Millis] = {}
+        self.bus.subscribe("accused", self._start_burst)
+        self.bus.subscribe("settings", self._forget_watched)
+
+    def start(self) -> None:
+        """Begin routine trials."""
+        if self._health.uses_evidence:
+            self.kernel.spawn("trials", self._run)
+
+    # Watchers.
+
+    def _refresh(self) -> None:
+        version = self._membership.table.version
+        if version == self._ring_version and self._watched:
+            return
+        self._ring_version = version
+        self._ring = Ring(self._membership.table.list_alive())
+        self._watched = [
+            item
+            for service in self._settings.view.services.values()
+            if service.probe_path
+            for item in self._health.list_items(service)
+            if self._is_watcher(item)
+        ]
+
+    def _forget_watched(self) -> None:
+        self._watched = []
+
+    def _is_watcher(self, item: UpstreamHealth) -> bool:
+        watchers = self._ring.find_successors(item.upstream.id, WATCHERS)
+        return self._own in watchers
+
+    # Routine trials.
+
+    def _run(self) -> None:
+        while not self.kernel.wait(TICK_MS):
+            self._refresh()
+            now = self._clock.now()
+            leaving = self._settings.view.leaving
+            for item in self._watched:
+                if item.upstream.address not in leaving and self._is_due(item, now):
+                    self._spawn_trial(item)
+
+    def _is_due(self, item: UpstreamHealth, now: Millis) -> bool:
+        key = item.upstream.id
+        interval = ROUTINE_MS if item.state is FitState.FIT else UNFIT_TRIAL_MS
+        due = self._due.get(key)
+        if due is None:
+            self._due[key] = Millis(now + random.randrange(interval))
+            return False
+        if now < due:
+            return False
+        self._due[key] = Millis(
+            now + interval * 3 // 4 + random.randrange(interval // 2)
+        )
+        return (
+            item.state is not FitState.FIT or now - item.last_outcome_at > interval // 2
+        )
+
+    def _spawn_trial(self, item: UpstreamHealth) -> None:
+        if self._slots.acquire(blocking=False):
+            self.kernel.spawn("trial", self._run_trial, item)
+
+    def _run_trial(self, item: UpstreamHealth) -> None:
+        try:
+            self.try_upstream(item)
+        finally:
+            self._slots.release()
+
+    # Bursts after an accusation.
+
+    def _start_burst(self, item: UpstreamHealth) -> None:
+        self._refresh()
+        if not item.service.probe_path or not self._is_watcher(item):
+            return
+        with self._lock:
+            if item.upstream.id in self._bursting:
+                return
+            self._bursting.add(item.upstream.id)
+        self.kernel.spawn("trial-burst", self._burst, item)
+
+    def _burst(self, item: UpstreamHealth) -> None:
+        try:
+            self._try_controls(item)
+            for _ in range(BURST_TRIALS):
+                if item.state is not FitState.FIT or self.kernel.is_stopping:
+                    return
+                self.try_upstream(item)
+                self._health.publish(item, is_urgent=False)
+                self.kernel.wait(BURST_INTERVAL_MS)
+        finally:
+            with self._lock:
+                self._bursting.discard(item.upstream.id)
+
+    def _try_controls(self, item: UpstreamHealth) -> None:
+        """Try other upstreams first, so that high demand is not taken for a fault."""
+        pool = self._health.list_candidates(item.service).fit
+        others = [other for other in pool if other is not item]
+        for other in random.sample(others, min(4, len(others))):
+            self._measure(other)
+
+    # One trial.
+
+    def try_upstream(self, item: UpstreamHealth) -> None:
+        """Send one trial request and record what it says."""
+        outcome = self._measure(item)
+        self._health.record(item, outcome)
+        log_event(
+            logger,
+            "trial",
+            logging.DEBUG,
+            service=item.service.name,
+            upstream=item.upstream.id,
+            outcome=outcome.kind.value,
+            duration_ms=outcome.duration_ms,
+        )
+
+    def _measure(self, item: UpstreamHealth) -> Outcome:
+        started = self._clock.now()
+        pulse = self._health.find_pulse(item.service)
+        request = self._make_request(item.service, pulse.slow_ms)
+        link = self._upstreams.find_link(item.service, item.upstream)
+        try:
+            with UpstreamCall(link, request) as call:
+                call.open()
+                call.send()
+                reply = call.read()
+        except UpstreamError as error:
+            duration = self._clock.now() - started
+            if error.failure is Failure.TIMEOUT:
+                pulse.add(self._clock.now(), item.upstream.id, duration)
+                return Outcome(OutcomeKind.SLOW, duration)
+            return Outcome(OutcomeKind.BAD, duration)
+        duration = self._clock.now() - started
+        return self._judge(item, reply, duration)
+
+    def _judge(self, item: UpstreamHealth, reply: Reply, duration: int) -> Outcome:
+        if reply.status in item.service.refusal_statuses:
+            return Outcome(OutcomeKind.NEUTRAL, duration)
+        if reply.status >= 500:
+            return Outcome(OutcomeKind.BAD, duration)
+        return self._health.judge_duration(item, duration)
+
+    def _make_request(self, service: Service, slow_ms: int) -> Request:
+        timeout = TRIAL_TIMEOUT_FACTOR * slow_ms
+        timeout = min(MAX_TRIAL_TIMEOUT_MS, max(MIN_TRIAL_TIMEOUT_MS, timeout))
+        return Request(
+            id=draw_request_id(),
+            method="GET",
+            path=service.probe_path,
+            target=service.probe_path,
+            headers=(),
+            body=b"",
+            deadline=Deadline(self._clock, timeout),
+            workspace=TRIAL_WORKSPACE,
+        )
--- /dev/null
+++ b/damaskdyke/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, retry budgets and limits of workspaces."""
--- /dev/null
+++ b/damaskdyke/limits/admission.py
@@ -0,0 +1,216 @@
+"""Admission policies: how many requests of a service run and wait at a time."""
+
+import heapq
+import itertools
+import threading
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from contextlib import contextmanager
+from enum import IntEnum
+
+from damaskdyke.conf.tree import Rule, Service, WorkClass
+from damaskdyke.core.clock import Clock, Deadline, Millis
+from damaskdyke.core.errors import ErrorKind, ProxyError
+from damaskdyke.core.registry import Registry
+
+SMOOTHING = 0.1
+SHED_FACTOR = 0.85
+SHED_INTERVAL_MS = 200
+MIN_LIMIT = 2.0
+HEADROOM = 2.0
+# A request is refused when its estimated wait takes more than this share of the time
+# it has left.
+WAIT_SHARE = 0.6
+FIRST_DURATION_MS = 50
+
+
+class Priority(IntEnum):
+    """Order in which waiting requests are let in."""
+
+    ORDER = 0
+    SHORT = 1
+    LONG = 2
+
+
+def find_priority(rule: Rule) -> Priority:
+    """Return the priority of requests under a rule."""
+    if rule.work is WorkClass.LONG:
+        return Priority.LONG
+    return Priority.ORDER if rule.is_order else Priority.SHORT
+
+
+class Gate(ABC):
+    """Admission to one service on this proxy."""
+
+    @contextmanager
+    def enter(self, rule: Rule, deadline: Deadline) -> Iterator[None]:
+        """Let a request in while the context lasts.
+
+        Raises
+        ------
+        ProxyError
+            ``overloaded`` or ``deadline-expired`` if it is not let in.
+        """
+        self.acquire(rule, deadline)
+        started = deadline.left()
+        try:
+            yield
+        finally:
+            self.release(rule, started - deadline.left())
+
+    @abstractmethod
+    def acquire(self, rule: Rule, deadline: Deadline) -> None:
+        """Wait for admission."""
+
+    @abstractmethod
+    def release(self, rule: Rule, duration_ms: int) -> None:
+        """End a request that was let in."""
+
+    def note_shed(self) -> None:
+        """Take note that an upstream refused a request under load."""
+
+    def resize(self, share: int) -> None:
+        """Set this proxy's share of the service's slots."""
+
+
+admission_policies: Registry[type[Gate]] = Registry("admission policy")
+
+
+@admission_policies.register("open")
+class OpenGate(Gate):
+    """Baseline that lets everything in at once."""
+
+    def __init__(self, service: Service, clock: Clock):
+        self.service = service
+
+    def acquire(self, rule: Rule, deadline: Deadline) -> None:
+        """Let the request in."""
+
+    def release(self, rule: Rule, duration_ms: int) -> None:
+        """Do nothing."""
+
+
+class Waiter:
+    """One waiting request."""
+
+    __slots__ = ("admitted", "key", "ready")
+
+    def __init__(self, key: tuple[int, int]):
+        self.key = key
+        self.ready = threading.Event()
+        self.admitted = False
+
+    def __lt__(self, other: "Waiter") -> bool:
+        return self.key < other.key
+
+
+@admission_policies.register("fifo")
+class FifoGate(Gate):
+    """Baseline: a fixed limit and one queue without a bound, in order of arrival."""
+
+    def __init__(self, service: Service, clock: Clock):
+        self.service = service
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._running = 0
+        self._limit = float(service.slots)
+        self._arrivals = itertools.count()
+        self._waiting: list[Waiter] = []
+
+    def resize(self, share: int) -> None:
+        """Set the limit to this proxy's share."""
+        self._limit = max(MIN_LIMIT, float(share))
+
+    def find_rank(self, rule: Rule) -> int:
+        """Return the place of a request among the waiting, lowest first."""
+        return 0
+
+    def refuse_hopeless(self, rule: Rule, deadline: Deadline) -> None:
+        """Raise if a request should not wait. Called with the lock held."""
+
+    def acquire(self, rule: Rule, deadline: Deadline) -> None:
+        """Wait for a place below the limit."""
+        with self._lock:
+            if self._running < int(self._limit) and not self._waiting:
+                self._running += 1
+                return
+            self.refuse_hopeless(rule, deadline)
+            waiter = Waiter((self.find_rank(rule), next(self._arrivals)))
+            heapq.heappush(self._waiting, waiter)
+        waiter.ready.wait(deadline.left_seconds())
+        with self._lock:
+            if waiter.admitted:
+                return
+            self._waiting.remove(waiter)
+            heapq.heapify(self._waiting)
+        raise ProxyError(ErrorKind.DEADLINE_EXPIRED, "no slot became free in time")
+
+    def release(self, rule: Rule, duration_ms: int) -> None:
+        """Give the place to the next that waits."""
+        with self._lock:
+            self._running -= 1
+            self.adapt(rule, duration_ms)
+            while self._waiting and self._running < int(self._limit):
+                waiter = heapq.heappop(self._waiting)
+                self._running += 1
+                waiter.admitted = True
+                waiter.ready.set()
+
+    def adapt(self, rule: Rule, duration_ms: int) -> None:
+        """Take in a finished request. Called with the lock held."""
+
+
+@admission_policies.register("bounded")
+class BoundedGate(FifoGate):
+    """Priority queue that refuses at once what would wait too long.
+
+    The limit follows what the upstreams take: it grows with finished requests and
+    shrinks when one is shed.
+    """
+
+    def __init__(self, service: Service, clock: Clock):
+        super().__init__(service, clock)
+        self._share = float(service.slots)
+        self._limit = self._share * HEADROOM
+        self._average_ms = float(FIRST_DURATION_MS)
+        self._shed_at = Millis(0)
+
+    def resize(self, share: int) -> None:
+        """Keep the limit between this proxy's share and a multiple of it."""
+        with self._lock:
+            share = max(MIN_LIMIT, float(share))
+            if share == self._share:
+                return
+            self._share = share
+            self._limit = share * HEADROOM
+
+    def find_rank(self, rule: Rule) -> int:
+        """Return orders before short lookups before long work."""
+        return int(find_priority(rule))
+
+    def refuse_hopeless(self, rule: Rule, deadline: Deadline) -> None:
+        """Refuse a request whose wait would take most of its time."""
+        rank = self.find_rank(rule)
+        ahead = sum(1 for waiter in self._waiting if waiter.key[0] <= rank)
+        wait_ms = (ahead + 1) * self._average_ms / max(1.0, self._limit)
+        if wait_ms <= WAIT_SHARE * deadline.left():
+            return
+        detail = f"{ahead} requests wait before it, about {wait_ms:.0f} ms"
+        raise ProxyError(ErrorKind.OVERLOADED, detail, retry_after_ms=int(wait_ms))
+
+    def adapt(self, rule: Rule, duration_ms: int) -> None:
+        """Follow the duration of requests, and probe for more room."""
+        if rule.work is WorkClass.SHORT:
+            self._average_ms += SMOOTHING * (duration_ms - self._average_ms)
+        if self._waiting:
+            most = self._share * HEADROOM * 2
+            self._limit = min(most, self._limit + 1 / self._limit)
+
+    def note_shed(self) -> None:
+        """Shrink the limit, at most once in an interval."""
+        with self._lock:
+            now = self._clock.now()
+            if now - self._shed_at < SHED_INTERVAL_MS:
+                return
+            self._shed_at = now
+            self._limit = max(self._share, MIN_LIMIT, self._limit * SHED_FACTOR)
--- /dev/null
+++ b/damaskdyke/limits/budgets.py
@@ -0,0 +1,109 @@
+"""Token budgets for retries and hedges, and for the memory of bodies."""
+
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from damaskdyke.core.errors import ErrorKind, ProxyError
+
+PERCENT = 100
+
+
+class ExtraBudget:
+    """Extra attempts, as a percentage of first attempts.
+
+    Parameters
+    ----------
+    percent : int
+        Extra attempts earned by a hundred first ones.
+    burst : int
+        Most extra attempts that can be saved up.
+    """
+
+    def __init__(self, percent: int, burst: int):
+        self._earned = percent
+        self._most = burst * PERCENT
+        self._lock = threading.Lock()
+        self._balance = self._most // 2
+
+    def earn(self) -> None:
+        """Count a first attempt."""
+        with self._lock:
+            self._balance = min(self._most, self._balance + self._earned)
+
+    def spend(self) -> bool:
+        """Return whether an extra attempt may be made, and count it."""
+        with self._lock:
+            if self._balance < PERCENT:
+                return False
+            self._balance -= PERCENT
+            return True
+
+
+class MemoryBudget:
+    """Bytes that the bodies of all requests in flight may take together."""
+
+    def __init__(self, limit: int):
+        self._limit = limit
+        self._lock = threading.Lock()
+        self._used = 0
+
+    @contextmanager
+    def reserve(self, size: int) -> Iterator[None]:
+        """Hold a number of bytes while the context lasts.
+
+        Raises
+        ------
+        ProxyError
+            ``overloaded`` if the bytes are not to be had.
+        """
+        with self._lock:
+            if self._used + size > self._limit:
+                detail = f"request bodies already take {self._used} bytes"
+                raise ProxyError(ErrorKind.OVERLOADED, detail, retry_after_ms=1_000)
+            self._used += size
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._used -= size
+
+
+class WorkspaceLimits:
+    """Requests in flight of each workspace on this proxy."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._counts: dict[str, int] = {}
+
+    @contextmanager
+    def enter(self, name: str, limit: int) -> Iterator[None]:
+        """Count a request of a workspace while the context lasts.
+
+        Raises
+        ------
+        ProxyError
+            ``workspace-limit`` if the workspace is at its limit; zero is no limit.
+        """
+        if not limit:
+            yield
+            return
+        self._add(name, limit)
+        try:
+            yield
+        finally:
+            self._remove(name)
+
+    def _add(self, name: str, limit: int) -> None:
+        with self._lock:
+            count = self._counts.get(name, 0)
+            if count >= limit:
+                detail = f"workspace {name} has {count} requests in flight"
+                raise ProxyError(ErrorKind.WORKSPACE_LIMIT, detail, retry_after_ms=200)
+            self._counts[name] = count + 1
+
+    def _remove(self, name: str) -> None:
+        with self._lock:
+            self._counts[name] -= 1
+            if not self._counts[name]:
+                del self._counts[name]
--- /dev/null
+++ b/damaskdyke/limits/component.py
@@ -0,0 +1,66 @@
+"""Limits component: the gates and budgets of every service."""
+
+import threading
+
+from damaskdyke.conf.tree import Service, WorkClass
+from damaskdyke.core.ids import ServiceName
+from damaskdyke.core.kernel import Component, Kernel, components
+from damaskdyke.distribution.component import Settings
+from damaskdyke.health.component import Health
+from damaskdyke.limits.admission import Gate, admission_policies
+from damaskdyke.limits.budgets import ExtraBudget, MemoryBudget, WorkspaceLimits
+from damaskdyke.membership.component import Membership
+
+RETRY_BURST = 10
+HEDGE_PERCENT = 5
+HEDGE_BURST = 4
+BODY_MEMORY_BYTES = 100 * 1024 * 1024
+
+
+class ServiceLimits:
+    """Gates and budgets of one service; long work has a gate of its own."""
+
+    def __init__(self, service: Service, short: Gate, long: Gate):
+        self.gates = {WorkClass.SHORT: short, WorkClass.LONG: long}
+        self.retries = ExtraBudget(service.retry_percent, RETRY_BURST)
+        self.hedges = ExtraBudget(HEDGE_PERCENT, HEDGE_BURST)
+        self.retry_percent = service.retry_percent
+
+
+@components.register("limits")
+class Limits(Component):
+    """Limits of every service, made on first use."""
+
+    def __init__(self, kernel: Kernel):
+        super().__init__(kernel)
+        self._membership = kernel.get(Membership)
+        self._health = kernel.get(Health)
+        self._settings = kernel.get(Settings)
+        self._gate_type = admission_policies.get(kernel.settings.policies.admission)
+        self._lock = threading.Lock()
+        self._services: dict[ServiceName, ServiceLimits] = {}
+        self.bodies = MemoryBudget(BODY_MEMORY_BYTES)
+        self.workspaces = WorkspaceLimits()
+
+    def find(self, service: Service) -> ServiceLimits:
+        """Return the limits of a service, sized for the present fleet."""
+        limits = self._services.get(service.name)
+        if limits is None or limits.retry_percent != service.retry_percent:
+            limits = self._add(service)
+        upstreams = len(self._health.list_candidates(service).fit)
+        slots = upstreams * service.slots
+        limits.gates[WorkClass.SHORT].resize(self._share(slots))
+        long_slots = upstreams * (service.long_slots or service.slots)
+        limits.gates[WorkClass.LONG].resize(self._share(long_slots))
+        return limits
+
+    def _add(self, service: Service) -> ServiceLimits:
+        with self._lock:
+            short = self._gate_type(service, self.kernel.clock)
+            long = self._gate_type(service, self.kernel.clock)
+            limits = ServiceLimits(service, short, long)
+            self._services[service.name] = limits
+            return limits
+
+    def _share(self, slots: int) -> int:
+        return -(-slots // self._membership.count_proxies())
--- /dev/null
+++ b/damaskdyke/management/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the program."""
--- /dev/null
+++ b/damaskdyke/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One command in each module."""
--- /dev/null
+++ b/damaskdyke/membership/component.py
@@ -0,0 +1,329 @@
+"""Membership component: the exchange with peers and the choice of neighbors."""
+
+import logging
+import random
+import threading
+
+from damaskdyke.conf.tree import Vm, VmRole
+from damaskdyke.core.clock import Millis
+from damaskdyke.core.ids import Address, BootId
+from damaskdyke.core.kernel import Component, Kernel, components
+from damaskdyke.membership.forwards import ForwardRecord, ForwardTable
+from damaskdyke.membership.links import PeerLink
+from damaskdyke.membership.parts import ExchangePart
+from damaskdyke.membership.rumors import RumorQueue
+from damaskdyke.membership.table import (
+    MemberRecord,
+    MemberState,
+    MemberTable,
+    choose_neighbors,
+    read_member,
+)
+from damaskdyke.peers.client import PeerCallError, PeerPool
+from damaskdyke.peers.gen.peer.ttypes import Exchange, Forward, Member
+from damaskdyke.utils.logs import log_event
+
+logger = logging.getLogger("damaskdyke.membership")
+
+RING_NEIGHBORS = 2
+RANDOM_NEIGHBORS = 2
+RUMOR_BATCH = 12
+INDIRECT_PROBES = 2
+UNREACHABLE_MS = 10_000
+FULL_EXCHANGE_MS = 300_000
+LINK_CHECK_MS = 500
+REVIVAL_MS = 2_000
+# A proxy that has heard no peer for this many exchange intervals accuses nobody.
+SILENT_INTERVALS = 4
+
+
+@components.register("membership")
+class Membership(Component):
+    """Members, reachability and the exchange that other components ride on."""
+
+    def __init__(self, kernel: Kernel):
+        super().__init__(kernel)
+        settings = kernel.settings
+        self.clock = kernel.clock
+        self.pool = PeerPool()
+        own = MemberRecord(
+            settings.peer_address, kernel.boot, settings.zone, MemberState.ALIVE, 1
+        )
+        self.table = MemberTable(own, kernel.clock)
+        self.forwards = ForwardTable(kernel.clock)
+        self._member_rumors: RumorQueue[MemberRecord] = RumorQueue(RUMOR_BATCH)
+        self._forward_rumors: RumorQueue[ForwardRecord] = RumorQueue(RUMOR_BATCH)
+        self._parts: list[ExchangePart] = []
+        self._links: dict[Address, PeerLink] = {}
+        self._unreachable: dict[Address, Millis] = {}
+        self._lock = threading.Lock()
+        self._seeds: set[Address] = set(settings.seeds) - {own.address}
+        self._heard_at: Millis | None = None
+        self._full_at = Millis(0)
+        self._alive_count = 1
+        self.compared = threading.Event()
+
+    def add_part(self, part: ExchangePart) -> None:
+        """Let another component's state ride on the exchanges."""
+        self._parts.append(part)
+
+    def start(self) -> None:
+        """Begin to exchange with peers."""
+        self.kernel.spawn("membership", self._run)
+
+    def stop(self) -> None:
+        """Close the connections to peers."""
+        self.pool.close()
+
+    # Views that other components use.
+
+    def count_alive(self) -> int:
+        """Return how many proxies are alive, this one included."""
+        return len(self.table.list_alive())
+
+    def count_proxies(self) -> int:
+        """Return the larger of the living members and the proxies listed.
+
+        Budgets that the fleet shares are divided by it, so that a proxy which has
+        lost sight of its peers does not take their part.
+        """
+        return max(self._alive_count, len(self._seeds) + 1)
+
+    def list_zone(self) -> list[MemberRecord]:
+        """Return the living members of this proxy's availability zone."""
+        zone = self.table.own.zone
+        return [record for record in self.table.list_alive() if record.zone == zone]
+
+    def has_known_peers(self) -> bool:
+        """Return whether any other proxy is known or listed."""
+        return bool(self._seeds) or bool(self.table.list_others())
+
+    def is_known(self, address: Address) -> bool:
+        """Return whether an address belongs to a proxy that is or was a member."""
+        return address in self._seeds or self.table.find(address) is not None
+
+    def last_heard(self) -> Millis | None:
+        """Return when a peer last completed an exchange with this proxy."""
+        return self._heard_at
+
+    def note_vms(self, vms: tuple[Vm, ...]) -> None:
+        """Take the proxies in the platform's list as addresses to try."""
+        own = self.table.own.address
+        listed = {vm.address for vm in vms if vm.role is VmRole.PROXY}
+        with self._lock:
+            self._seeds |= listed - {own}
+
+    # Exchange.
+
+    def make_offer(self, want_all: bool = False) -> Exchange:
+        """Return this proxy's side of an exchange."""
+        offer = Exchange(
+            sender=self.table.own.to_message(),
+            tree_hash=b"",
+            changed=[],
+            members=[record.to_message() for record in self._member_rumors.take()],
+            evidence=[],
+            forwards=[
+                self.forwards.to_message(record)
+                for record in self._forward_rumors.take()
+            ],
+            want_all=want_all,
+        )
+        for part in self._parts:
+            part.fill(offer)
+        return offer
+
+    def answer_exchange(self, offer: Exchange) -> Exchange:
+        """Take in a peer's offer and return the answer."""
+        self.read_offer(offer)
+        answer = self.make_offer()
+        if offer.want_all:
+            answer.members = [record.to_message() for record in self.table.all()]
+            answer.forwards = self.forwards.to_messages()
+        return answer
+
+    def read_offer(self, offer: Exchange) -> None:
+        """Take in a peer's side of an exchange."""
+        self._heard_at = self.clock.now()
+        self._unreachable.pop(Address(offer.sender.address), None)
+        self._merge_members([offer.sender, *offer.members])
+        self._merge_forwards(offer.forwards)
+        for part in self._parts:
+            part.read(Address(offer.sender.address), offer)
+        self.compared.set()
+
+    def exchange_with(self, address: Address, fresh: bool = False) -> Exchange:
+        """Carry out one exchange with a peer and return its answer.
+
+        Raises
+        ------
+        PeerCallError
+            If the peer does not answer.
+        """
+        offer = self.make_offer(want_all=self._is_full_due())
+        timeout = self.kernel.settings.timing.peer_timeout_ms
+        call = self.pool.call_fresh if fresh else self.pool.call
+        answer = call(address, timeout, lambda client: client.exchange(offer))
+        self.read_offer(answer)
+        return answer
+
+    def spread_now(self) -> None:
+        """Wake every link, so that news leaves at once."""
+        for link in list(self._links.values()):
+            link.wake()
+
+    def announce_forward(self, message: Forward) -> None:
+        """Spread the forward address of a ledger."""
+        self._merge_forwards([message])
+
+    def leave(self) -> None:
+        """Tell the peers that this proxy stops by plan."""
+        record = self.table.mark(self.table.own.address, MemberState.LEFT)
+        if record is None:
+            return
+        for address in list(self._links) or self._pick_contacts():
+            try:
+                self.exchange_with(address)
+            except PeerCallError:
+                continue
+
+    def _is_full_due(self) -> bool:
+        now = self.clock.now()
+        if self._full_at and now - self._full_at < FULL_EXCHANGE_MS:
+            return False
+        self._full_at = now
+        return True
+
+    def _merge_members(self, messages: list[Member]) -> None:
+        try:
+            records = [read_member(message) for message in messages]
+        except ValueError:
+            return
+        changed = self.table.merge(records)
+        for record in changed:
+            self._member_rumors.put(record.address, record, self.count_alive())
+            log_event(
+                logger,
+                "member-changed",
+                peer=record.address,
+                state=record.state.name.lower(),
+                incarnation=record.incarnation,
+            )
+            if record.state is not MemberState.ALIVE:
+                self.pool.forget(record.address)
+        if changed:
+            self.bus.publish("members")
+
+    def _merge_forwards(self, messages: list[Forward]) -> None:
+        for record in self.forwards.merge(messages):
+            self._forward_rumors.put(record.boot, record, self.count_alive())
+            log_event(
+                logger, "forward-learned", boot=record.boot, successor=record.successor
+            )
+
+    # Links and failure detection.
+
+    def _run(self) -> None:
+        revive_at = self.clock.now()
+        while not self.kernel.is_stopping:
+            self._refresh_links()
+            self._alive_count = self.count_alive()
+            if self.clock.now() >= revive_at:
+                revive_at = self.clock.now() + REVIVAL_MS
+                self._try_revival()
+            self.kernel.wait(LINK_CHECK_MS)
+
+    def _try_revival(self) -> None:
+        """Try one proxy that is not a living member, so that cuts can heal."""
+        alive = set(self.table.list_others())
+        gone = {record.address for record in self.table.all()} | self._seeds
+        gone -= alive | {self.table.own.address}
+        if not gone:
+            return
+        try:
+            self.exchange_with(random.choice(sorted(gone)), fresh=True)
+        except PeerCallError:
+            return
+
+    def _is_hearing_peers(self) -> bool:
+        limit = SILENT_INTERVALS * self.kernel.settings.timing.gossip_ms
+        heard = self._heard_at
+        return heard is not None and self.clock.now() - heard < limit
+
+    def _refresh_links(self) -> None:
+        wanted = self._choose_links()
+        for address in set(self._links) - set(wanted):
+            self._links.pop(address).end()
+        for address in wanted:
+            if address not in self._links:
+                link = PeerLink(self, address)
+                self._links[address] = link
+                self.kernel.spawn(f"link-{address}", link.run)
+
+    def _choose_links(self) -> list[Address]:
+        now = self.clock.now()
+        blocked = {key for key, until in self._unreachable.items() if until > now}
+        others = [item for item in self.table.list_others() if item not in blocked]
+        if not others:
+            return self._pick_contacts()
+        return choose_neighbors(
+            self.table.own.address, others, RING_NEIGHBORS, RANDOM_NEIGHBORS
+        )
+
+    def _pick_contacts(self) -> list[Address]:
+        with self._lock:
+            seeds = sorted(self._seeds)
+        neighbors = choose_neighbors(
+            self.table.own.address, seeds, RING_NEIGHBORS, RANDOM_NEIGHBORS
+        )
+        configured = [item for item in self.kernel.settings.seeds if item in seeds]
+        return list(dict.fromkeys(configured + neighbors))
+
+    def report_unreachable(self, address: Address) -> None:
+        """Decide between a bad path and a dead peer, after failed exchanges."""
+        record = self.table.find(address)
+        if record is None or record.state is not MemberState.ALIVE:
+            return
+        self._unreachable[address] = Millis(self.clock.now() + UNREACHABLE_MS)
+        if self._is_reached_by_others(address):
+            log_event(logger, "path-failed", peer=address, reason="others-reach-it")
+            return
+        if not self._is_hearing_peers():
+            return
+        dead = self.table.mark(address, MemberState.DEAD)
+        if dead is None:
+            return
+        self._member_rumors.put(address, dead, self.count_alive())
+        self.pool.forget(address)
+        log_event(logger, "member-changed", peer=address, state="dead")
+        self.bus.publish("members")
+
+    def _is_reached_by_others(self, address: Address) -> bool:
+        helpers = [item for item in self.table.list_others() if item != address]
+        timeout = self.kernel.settings.timing.peer_timeout_ms
+        for helper in helpers[:INDIRECT_PROBES]:
+            try:
+                if self.pool.call(
+                    helper, 2 * timeout, lambda client: client.ping_through(address)
+                ):
+                    return True
+            except PeerCallError:
+                continue
+        return False
+
+    def ping(self, address: Address) -> bool:
+        """Return whether this proxy reaches a peer on a new connection."""
+        timeout = self.kernel.settings.timing.peer_timeout_ms
+        offer = self.make_offer()
+        try:
+            self.pool.call_fresh(
+                address, timeout, lambda client: client.exchange(offer)
+            )
+        except PeerCallError:
+            return False
+        return True
+
+    def find_boot(self, address: Address) -> BootId | None:
+        """Return the boot id last heard from an address."""
+        record = self.table.find(address)
+        return None if record is None else record.boot
--- /dev/null
+++ b/damaskdyke/membership/parts.py
@@ -0,0 +1,18 @@
+"""Extension point for state that travels with every exchange."""
+
+from abc import ABC, abstractmethod
+
+from damaskdyke.core.ids import Address
+from damaskdyke.peers.gen.peer.ttypes import Exchange
+
+
+class ExchangePart(ABC):
+    """State of another component that rides on the exchanges between members."""
+
+    @abstractmethod
+    def fill(self, offer: Exchange) -> None:
+        """Add what this proxy has to say to an outgoing exchange."""
+
+    @abstractmethod
+    def read(self, sender: Address, offer: Exchange) -> None:
+        """Take in what a peer said."""
--- /dev/null
+++ b/damaskdyke/membership/ring.py
@@ -0,0 +1,55 @@
+"""Consistent hash ring over the living members."""
+
+import bisect
+
+from damaskdyke.core.ids import Address
+from damaskdyke.membership.table import MemberRecord
+from damaskdyke.utils.randomness import hash_score
+
+
+class Ring:
+    """Members in the order of their hashes.
+
+    Parameters
+    ----------
+    members : list of MemberRecord
+        The living members.
+    """
+
+    def __init__(self, members: list[MemberRecord]):
+        points = sorted((hash_score(member.address), member) for member in members)
+        self._hashes = [score for score, _ in points]
+        self._members = [member for _, member in points]
+
+    def find_successors(self, key: str, count: int) -> list[Address]:
+        """Return up to ``count`` members for a key, of different zones where possible.
+
+        The first of them is the key's single place of decision.
+        """
+        size = len(self._members)
+        start = bisect.bisect(self._hashes, hash_score(key))
+        walk = [self._members[(start + step) % size] for step in range(size)]
+        chosen = pick_distinct_zones(walk, count)
+        spare = [member for member in walk if member not in chosen]
+        chosen += spare[: count - len(chosen)]
+        return [member.address for member in chosen]
+
+    def find_first(self, key: str) -> Address | None:
+        """Return the member that decides for a key."""
+        if not self._members:
+            return None
+        start = bisect.bisect(self._hashes, hash_score(key))
+        return self._members[start % len(self._members)].address
+
+
+def pick_distinct_zones(walk: list[MemberRecord], count: int) -> list[MemberRecord]:
+    """Return the first member of each zone, ``count`` at most."""
+    chosen: list[MemberRecord] = []
+    zones: set[str] = set()
+    for member in walk:
+        if len(chosen) == count:
+            break
+        if member.zone not in zones:
+            zones.add(member.zone)
+            chosen.append(member)
+    return chosen
--- /dev/null
+++ b/damaskdyke/membership/rumors.py
@@ -0,0 +1,61 @@
+"""Bounded dissemination of news: each item is sent a limited number of times."""
+
+import math
+import threading
+from collections.abc import Hashable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+Item = TypeVar("Item")
+
+SENDS_PER_DOUBLING = 3
+MIN_SENDS = 6
+
+
+@dataclass
+class Rumor(Generic[Item]):
+    """One item and how often it may still be sent."""
+
+    item: Item
+    sends_left: int
+
+
+class RumorQueue(Generic[Item]):
+    """Latest item for each key, those sent least first.
+
+    Parameters
+    ----------
+    batch : int
+        Most items in one exchange.
+    """
+
+    def __init__(self, batch: int):
+        self._batch = batch
+        self._lock = threading.Lock()
+        self._rumors: dict[Hashable, Rumor[Item]] = {}
+
+    def put(self, key: Hashable, item: Item, members: int) -> None:
+        """Start to spread ``item`` among ``members`` proxies."""
+        doublings = math.ceil(math.log2(members + 1))
+        sends = max(MIN_SENDS, SENDS_PER_DOUBLING * doublings)
+        with self._lock:
+            self._rumors[key] = Rumor(item, sends)
+
+    def take(self) -> list[Item]:
+        """Return the items for one exchange."""
+        with self._lock:
+            if not self._rumors:
+                return []
+            order = sorted(
+                self._rumors.items(), key=lambda pair: pair[1].sends_left, reverse=True
+            )
+            chosen = order[: self._batch]
+            for key, rumor in chosen:
+                rumor.sends_left -= 1
+                if rumor.sends_left <= 0:
+                    del self._rumors[key]
+            return [rumor.item for _, rumor in chosen]
+
+    def __len__(self) -> int:
+        with self._lock:
+            return len(self._rumors)
--- /dev/null
+++ b/damaskdyke/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""OpenTelemetry metrics of a process."""
--- /dev/null
+++ b/damaskdyke/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests: tickets, ledger, hand-over and withdrawal."""
--- /dev/null
+++ b/damaskdyke/orders/dispatch.py
@@ -0,0 +1,161 @@
+"""Dispatch of an order by its home, in steps that the ledger allows one by one."""
+
+import logging
+
+from damaskdyke.conf.tree import Rule, Service
+from damaskdyke.core.kernel import Kernel
+from damaskdyke.distribution.component import Settings, Standing
+from damaskdyke.health.component import Health
+from damaskdyke.health.states import Outcome as SeenOutcome
+from damaskdyke.health.states import OutcomeKind, UpstreamHealth
+from damaskdyke.orders.ledger import EntryState, Ledger
+from damaskdyke.orders.messages import OrderResult
+from damaskdyke.placement.component import Placement
+from damaskdyke.routing.balancing import Balancer
+from damaskdyke.upstreams.calls import UpstreamCall
+from damaskdyke.upstreams.component import Upstreams
+from damaskdyke.upstreams.messages import Reply, Request, UpstreamError
+from damaskdyke.utils.logs import log_event
+
+logger = logging.getLogger("damaskdyke.orders")
+
+
+class OrderRun:
+    """One claimed order on its way to upstreams.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Owner of the components.
+    ledger : Ledger
+        Ledger in which the calling thread holds the claim.
+    sequence : int
+        Number of the ticket.
+    service, rule : Service, Rule
+        What the settings say about the order.
+    request : Request
+        The order.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        ledger: Ledger,
+        sequence: int,
+        service: Service,
+        rule: Rule,
+        request: Request,
+    ):
+        self._clock = kernel.clock
+        self._settings = kernel.get(Settings)
+        self._health = kernel.get(Health)
+        self._upstreams = kernel.get(Upstreams)
+        self._balancer = kernel.get(Balancer)
+        self._placement = kernel.get(Placement)
+        self._ledger = ledger
+        self._sequence = sequence
+        self._service = service
+        self._rule = rule
+        self._request = request
+
+    def run(self) -> OrderResult:
+        """Try upstreams until one takes the order, and return the result.
+
+        Another upstream is tried only while it is certain that nothing ran.
+        """
+        tried: set[str] = set()
+        reason = "no upstream accepts work"
+        for attempt in range(1, self._rule.attempts + 1):
+            item = self._balancer.choose(self._service, tried)
+            if item is None:
+                break
+            tried.add(item.upstream.id)
+            with self._placement.hold(self._service, self._rule, item, self._request):
+                result, reason = self._attempt(item, attempt)
+            if result is not None:
+                return result
+        return self._ledger.settle(self._sequence, EntryState.NOT_RUN, reason)
+
+    def _attempt(
+        self, item: UpstreamHealth, attempt: int
+    ) -> tuple[OrderResult | None, str]:
+        """Return the result, or ``None`` and why it is certain that nothing ran."""
+        link = self._upstreams.find_link(self._service, item.upstream)
+        with (
+            self._balancer.count(item),
+            UpstreamCall(link, self._request, fresh=True) as call,
+        ):
+            try:
+                call.open()
+            except UpstreamError as error:
+                self._note(item, OutcomeKind.BAD, attempt, f"unsent: {error}")
+                return None, f"not sent: {error.detail}"
+            if not self._may_dispatch():
+                return None, "the deadline passed or the home may not act"
+            return self._send(call, item, attempt)
+
+    def _may_dispatch(self) -> bool:
+        if self._settings.refresh() is not Standing.CONFIRMED:
+            return False
+        return self._ledger.dispatch(self._sequence, self._request.deadline)
+
+    def _send(
+        self, call: UpstreamCall, item: UpstreamHealth, attempt: int
+    ) -> tuple[OrderResult | None, str]:
+        started = self._clock.now()
+        try:
+            call.send()
+            reply = read_whole(call)
+        except UpstreamError as error:
+            self._note(item, OutcomeKind.BAD, attempt, f"unknown: {error}")
+            state = EntryState.UNKNOWN
+            return self._ledger.settle(self._sequence, state, str(error)), ""
+        if reply.status in self._service.refusal_statuses:
+            self._note(item, OutcomeKind.NEUTRAL, attempt, f"refused: {reply.status}")
+            reason = f"the upstream refused it with status {reply.status}"
+            if self._ledger.take_back(self._sequence):
+                return None, reason
+            state = EntryState.NOT_RUN
+            return self._ledger.settle(self._sequence, state, reason), ""
+        duration = self._clock.now() - started
+        is_bad = reply.status >= 500
+        kind = OutcomeKind.BAD if is_bad else OutcomeKind.GOOD
+        self._note(item, kind, attempt, f"answered: {reply.status}", duration)
+        return self._ledger.answer(self._sequence, reply), ""
+
+    def _note(
+        self,
+        item: UpstreamHealth,
+        kind: OutcomeKind,
+        attempt: int,
+        result: str,
+        duration: int = 0,
+    ) -> None:
+        self._health.record(item, SeenOutcome(kind, duration))
+        log_event(
+            logger,
+            "order-attempt",
+            request=self._request.id,
+            service=self._service.name,
+            upstream=item.upstream.id,
+            sequence=self._sequence,
+            attempt=attempt,
+            result=result,
+            left_ms=self._request.deadline.left(),
+        )
+
+
+def read_whole(call: UpstreamCall) -> Reply:
+    """Return the reply with its whole body in memory.
+
+    Raises
+    ------
+    UpstreamError
+        If the reply is late, cut short or malformed.
+    """
+    reply = call.read()
+    if reply.rest is None:
+        return reply
+    parts = [reply.body, *reply.rest]
+    body = b"".join(parts)
+    return Reply(reply.status, reply.headers, body, len(body))
--- /dev/null
+++ b/damaskdyke/orders/handover.py
@@ -0,0 +1,83 @@
+"""Form of a sealed ledger between peers."""
+
+from damaskdyke.conf.daemon import OrderSettings
+from damaskdyke.core.clock import Clock, Millis
+from damaskdyke.core.ids import Address, BootId
+from damaskdyke.orders.ledger import Entry, EntryState, Ledger
+from damaskdyke.orders.messages import read_headers, to_headers
+from damaskdyke.peers.gen.peer.ttypes import Handover, HandoverEntry
+from damaskdyke.upstreams.messages import Reply
+
+# Status that marks an answered entry whose reply was not kept.
+STATUS_NOT_KEPT = -1
+
+
+def make_handover(ledger: Ledger, successor_boot: BootId, clock: Clock) -> Handover:
+    """Seal a ledger and return the message that hands it to one successor."""
+    entries = ledger.seal()
+    now = clock.now()
+    return Handover(
+        address=ledger.home,
+        boot=ledger.boot,
+        secret=ledger.secret,
+        entries=[to_message(entry, now) for entry in entries],
+        successor_boot=successor_boot,
+    )
+
+
+def to_message(entry: Entry, now: Millis) -> HandoverEntry:
+    """Return one entry as a peer message."""
+    reply = entry.reply
+    status = reply.status if reply else 0
+    if entry.is_reply_dropped:
+        status = STATUS_NOT_KEPT
+    return HandoverEntry(
+        sequence=entry.sequence,
+        state=entry.state.value,
+        expires_in_ms=max(0, entry.expires_at - now),
+        binding=entry.binding,
+        reason=entry.reason,
+        status=status,
+        headers=to_headers(reply.headers) if reply else [],
+        body=reply.body if reply else b"",
+    )
+
+
+def read_entry(message: HandoverEntry, now: Millis) -> Entry:
+    """Return the entry in a peer message.
+
+    Raises
+    ------
+    ValueError
+        If the state is not known.
+    """
+    state = EntryState(message.state)
+    reply = None
+    if state is EntryState.ANSWERED and message.status != STATUS_NOT_KEPT:
+        headers = read_headers(message.headers)
+        reply = Reply(message.status, headers, message.body, len(message.body))
+    return Entry(
+        sequence=message.sequence,
+        expires_at=Millis(now + message.expires_in_ms),
+        state=state,
+        binding=message.binding,
+        reason=message.reason,
+        reply=reply,
+        is_reply_dropped=message.status == STATUS_NOT_KEPT,
+    )
+
+
+def read_ledger(message: Handover, limits: OrderSettings, clock: Clock) -> Ledger:
+    """Return the adopted ledger in a hand-over.
+
+    Raises
+    ------
+    ValueError
+        If an entry is not valid.
+    """
+    now = clock.now()
+    ledger = Ledger(
+        Address(message.address), BootId(message.boot), limits, clock, message.secret
+    )
+    ledger.adopt([read_entry(entry, now) for entry in message.entries])
+    return ledger
--- /dev/null
+++ b/damaskdyke/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift calls between proxies."""
--- /dev/null
+++ b/damaskdyke/peers/client.py
@@ -0,0 +1,155 @@
+"""Calls to peers over pooled connections, one call at a time on each."""
+
+import threading
+from collections import defaultdict
+from collections.abc import Callable
+from enum import Enum
+from typing import TypeVar
+
+from thrift.Thrift import TApplicationException, TException
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import TTransportException
+
+from damaskdyke.core.errors import ErrorKind, ProxyError
+from damaskdyke.core.ids import Address
+from damaskdyke.peers.gen.peer.Peer import Client
+from damaskdyke.peers.transport import make_protocol
+
+Reply = TypeVar("Reply")
+
+MAX_IDLE_PER_PEER = 4
+
+
+class CallStage(Enum):
+    """How far a failed call may have come."""
+
+    NOT_SENT = "not-sent"
+    MAYBE_SENT = "maybe-sent"
+
+
+class PeerCallError(ProxyError):
+    """A call to a peer failed.
+
+    Parameters
+    ----------
+    address : Address
+        Peer that was called.
+    stage : CallStage
+        Whether the peer may have received the call.
+    detail : str
+        What the transport reported.
+    """
+
+    def __init__(self, address: Address, stage: CallStage, detail: str):
+        super().__init__(ErrorKind.PEER_UNAVAILABLE, f"{address}: {detail}")
+        self.address = address
+        self.stage = stage
+
+
+class PeerConnection:
+    """One connected client."""
+
+    def __init__(self, address: Address, timeout_ms: int):
+        host, port = address.rsplit(":", 1)
+        self.socket = TSocket(host, int(port))
+        self.socket.setTimeout(timeout_ms)
+        self.protocol = make_protocol(self.socket)
+        self.client = Client(self.protocol)
+        self.socket.open()
+
+    def set_timeout(self, timeout_ms: int) -> None:
+        """Limit each wait for the peer, in milliseconds."""
+        self.socket.setTimeout(timeout_ms)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.socket.close()
+
+
+class PeerPool:
+    """Idle connections to every peer.
+
+    A connection on which a call failed is closed and never used again, so a late
+    reply cannot be taken for the answer to another call.
+    """
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._idle: dict[Address, list[PeerConnection]] = defaultdict(list)
+
+    def call(
+        self,
+        address: Address,
+        timeout_ms: int,
+        function: Callable[[Client], Reply],
+    ) -> Reply:
+        """Return what ``function`` returns for a client of the peer.
+
+        Raises
+        ------
+        PeerCallError
+            If the peer cannot be reached or does not answer in time.
+        """
+        connection = self._take(address)
+        if connection is None:
+            connection = self._connect(address, timeout_ms)
+        try:
+            connection.set_timeout(max(1, timeout_ms))
+            reply = function(connection.client)
+        except (TException, OSError, ValueError, EOFError) as error:
+            connection.close()
+            raise self._describe(address, error) from error
+        except BaseException:
+            connection.close()
+            raise
+        self._give_back(address, connection)
+        return reply
+
+    def call_fresh(
+        self,
+        address: Address,
+        timeout_ms: int,
+        function: Callable[[Client], Reply],
+    ) -> Reply:
+        """Make a call on a new connection, dropping the idle ones of the peer."""
+        self.forget(address)
+        return self.call(address, timeout_ms, function)
+
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to a peer."""
+        with self._lock:
+            connections = self._idle.pop(address, [])
+        for connection in connections:
+            connection.close()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        with self._lock:
+            addresses = list(self._idle)
+        for address in addresses:
+            self.forget(address)
+
+    def _connect(self, address: Address, timeout_ms: int) -> PeerConnection:
+        try:
+            return PeerConnection(address, max(1, timeout_ms))
+        except (TTransportException, OSError, ValueError) as error:
+            raise PeerCallError(address, CallStage.NOT_SENT, str(error)) from error
+
+    def _take(self, address: Address) -> PeerConnection | None:
+        with self._lock:
+            idle = self._idle.get(address)
+            return idle.pop() if idle else None
+
+    def _give_back(self, address: Address, connection: PeerConnection) -> None:
+        with self._lock:
+            idle = self._idle[address]
+            if len(idle) < MAX_IDLE_PER_PEER:
+                idle.append(connection)
+                return
+        connection.close()
+
+    def _describe(self, address: Address, error: Exception) -> PeerCallError:
+        detail = f"{type(error).__name__}: {error}"
+        if isinstance(error, TApplicationException):
+            detail = f"peer reported: {error}"
+        return PeerCallError(address, CallStage.MAYBE_SENT, detail)
--- /dev/null
+++ b/damaskdyke/peers/gen/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/damaskdyke/peers/transport.py
@@ -0,0 +1,20 @@
+"""Thrift protocol stack with limits on what a peer may send."""
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.protocol.TProtocol import TProtocolBase
+from thrift.transport.TTransport import TFramedTransport, TTransportBase
+
+# Whole message, large enough for the largest order and its reply.
+MAX_FRAME_BYTES = 40 * 1024 * 1024
+MAX_ELEMENTS = 200_000
+
+
+def make_protocol(socket: TTransportBase) -> TProtocolBase:
+    """Return the framed binary protocol over a connected socket."""
+    framed = TFramedTransport(socket, max_frame_size=MAX_FRAME_BYTES)
+    return TBinaryProtocolAccelerated(
+        framed,
+        string_length_limit=MAX_FRAME_BYTES,
+        container_length_limit=MAX_ELEMENTS,
+        fallback=True,
+    )
--- /dev/null
+++ b/damaskdyke/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Slots for long work, granted by one proxy for each upstream."""
--- /dev/null
+++ b/damaskdyke/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of upstreams and the path of a lookup."""
--- /dev/null
+++ b/damaskdyke/routing/balancing.py
@@ -0,0 +1,147 @@
+"""Balancing policies and the count of requests in flight."""
+
+import itertools
+import random
+import threading
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from damaskdyke.conf.tree import Service
+from damaskdyke.core.clock import Millis
+from damaskdyke.core.ids import UpstreamId
+from damaskdyke.core.kernel import Component, Kernel, components
+from damaskdyke.core.registry import Registry
+from damaskdyke.health.component import Health
+from damaskdyke.health.states import UpstreamHealth
+
+# An upstream that shed a request is passed over for this time.
+SHED_PAUSE_MS = 50
+
+
+class InFlight:
+    """Requests in flight from this proxy to each upstream."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._counts: dict[UpstreamId, int] = {}
+
+    def get(self, upstream: UpstreamId) -> int:
+        """Return the requests in flight to an upstream."""
+        return self._counts.get(upstream, 0)
+
+    def add(self, upstream: UpstreamId, change: int) -> None:
+        """Change the count of an upstream."""
+        with self._lock:
+            self._counts[upstream] = self._counts.get(upstream, 0) + change
+
+
+class BalancingPolicy(ABC):
+    """Chooses one upstream among several.
+
+    Parameters
+    ----------
+    in_flight : InFlight
+        Counts of this proxy.
+    """
+
+    def __init__(self, in_flight: InFlight):
+        self.in_flight = in_flight
+
+    @abstractmethod
+    def choose(self, pool: list[UpstreamHealth], now: Millis) -> UpstreamHealth:
+        """Return one member of a pool that is not empty."""
+
+
+balancing_policies: Registry[type[BalancingPolicy]] = Registry("balancing policy")
+
+
+@balancing_policies.register("least-loaded")
+class LeastLoaded(BalancingPolicy):
+    """The less loaded of two random upstreams, by this proxy's requests in flight."""
+
+    def choose(self, pool: list[UpstreamHealth], now: Millis) -> UpstreamHealth:
+        """Return the better of two random members."""
+        if len(pool) == 1:
+            return pool[0]
+        first, second = random.sample(pool, 2)
+        if self._load(first, now) <= self._load(second, now):
+            return first
+        return second
+
+    def _load(self, item: UpstreamHealth, now: Millis) -> float:
+        return (self.in_flight.get(item.upstream.id) + 1) / item.weight(now)
+
+
+@balancing_policies.register("random")
+class RandomChoice(BalancingPolicy):
+    """Baseline: any upstream with equal chance."""
+
+    def choose(self, pool: list[UpstreamHealth], now: Millis) -> UpstreamHealth:
+        """Return a random member."""
+        return random.choice(pool)
+
+
+@balancing_policies.register("round-robin")
+class RoundRobin(BalancingPolicy):
+    """Baseline: each upstream in turn."""
+
+    def __init__(self, in_flight: InFlight):
+        super().__init__(in_flight)
+        self._turn = itertools.count()
+
+    def choose(self, pool: list[UpstreamHealth], now: Millis) -> UpstreamHealth:
+        """Return the next member."""
+        return pool[next(self._turn) % len(pool)]
+
+
+@components.register("balancer")
+class Balancer(Component):
+    """Chooses an upstream for each attempt."""
+
+    def __init__(self, kernel: Kernel):
+        super().__init__(kernel)
+        self._clock = kernel.clock
+        self._health = kernel.get(Health)
+        self.in_flight = InFlight()
+        self._shed_until: dict[UpstreamId, Millis] = {}
+        name = kernel.settings.policies.balancing
+        self._policy = balancing_policies.get(name)(self.in_flight)
+
+    def choose(self, service: Service, tried: set[str]) -> UpstreamHealth | None:
+        """Return an upstream that was not tried yet, the fit ones first.
+
+        A demoted upstream is returned only if no fit one has a free slot.
+        """
+        now = self._clock.now()
+        candidates = self._health.list_candidates(service)
+        fit = [item for item in candidates.fit if item.upstream.id not in tried]
+        free = [item for item in fit if self._is_free(item, now)]
+        if free:
+            return self._policy.choose(free, now)
+        reserve = [
+            item
+            for item in candidates.reserve
+            if item.upstream.id not in tried and self._is_free(item, now)
+        ]
+        pool = reserve or fit
+        return self._policy.choose(pool, now) if pool else None
+
+    def _is_free(self, item: UpstreamHealth, now: Millis) -> bool:
+        if self._shed_until.get(item.upstream.id, 0) > now:
+            return False
+        return self.in_flight.get(item.upstream.id) < item.service.slots
+
+    def note_shed(self, item: UpstreamHealth) -> None:
+        """Pass an upstream over for a moment, because it refused a request."""
+        until = Millis(self._clock.now() + SHED_PAUSE_MS)
+        self._shed_until[item.upstream.id] = until
+
+    @contextmanager
+    def count(self, item: UpstreamHealth) -> Iterator[None]:
+        """Count a request in flight."""
+        self.in_flight.add(item.upstream.id, 1)
+        try:
+            yield
+        finally:
+            self.in_flight.add(item.upstream.id, -1)
--- /dev/null
+++ b/damaskdyke/routing/hedging.py
@@ -0,0 +1,43 @@
+"""Hedging policies: when a late lookup is sent to a second upstream."""
+
+from abc import ABC, abstractmethod
+
+from damaskdyke.conf.tree import Rule
+from damaskdyke.core.registry import Registry
+from damaskdyke.health.pulse import ServicePulse
+from damaskdyke.limits.budgets import ExtraBudget
+
+
+class HedgingPolicy(ABC):
+    """Decides on the delay before a hedge."""
+
+    @abstractmethod
+    def find_delay(self, rule: Rule, pulse: ServicePulse) -> int | None:
+        """Return the delay in milliseconds, or ``None`` for no hedge."""
+
+    def may_hedge(self, budget: ExtraBudget) -> bool:
+        """Return whether the budget allows a hedge now, and count it."""
+        return budget.spend()
+
+
+hedging_policies: Registry[type[HedgingPolicy]] = Registry("hedging policy")
+
+
+@hedging_policies.register("none")
+class NoHedging(HedgingPolicy):
+    """Baseline that never hedges."""
+
+    def find_delay(self, rule: Rule, pulse: ServicePulse) -> int | None:
+        """Return no delay."""
+        return None
+
+
+@hedging_policies.register("budgeted")
+class BudgetedHedging(HedgingPolicy):
+    """One hedge for a late idempotent lookup, within a budget."""
+
+    def find_delay(self, rule: Rule, pulse: ServicePulse) -> int | None:
+        """Return the duration that few lookups of the service exceed."""
+        if not rule.hedge or rule.is_order:
+            return None
+        return pulse.hedge_ms
--- /dev/null
+++ b/damaskdyke/routing/lookups.py
@@ -0,0 +1,330 @@
+"""Path of an idempotent request: admission, attempts, retries and a hedge."""
+
+import logging
+import select
+from collections.abc import Iterator
+from contextlib import ExitStack
+
+from damaskdyke.conf.tree import Rule, Service, WorkClass
+from damaskdyke.core.clock import Deadline
+from damaskdyke.core.errors import ErrorKind, ProxyError
+from damaskdyke.core.kernel import Component, Kernel, components
+from damaskdyke.distribution.component import Settings, Standing
+from damaskdyke.health.component import Health
+from damaskdyke.health.states import Outcome, OutcomeKind, UpstreamHealth
+from damaskdyke.limits.component import Limits, ServiceLimits
+from damaskdyke.metrics.instruments import Metrics
+from damaskdyke.placement.component import Placement
+from damaskdyke.routing.balancing import Balancer
+from damaskdyke.routing.hedging import hedging_policies
+from damaskdyke.upstreams.calls import UpstreamCall
+from damaskdyke.upstreams.component import Upstreams
+from damaskdyke.upstreams.messages import Failure, Reply, Request, UpstreamError
+from damaskdyke.utils.logs import log_event
+
+logger = logging.getLogger("damaskdyke.routing")
+
+FAILED_STATUSES = frozenset({500, 502, 504})
+PLACEMENT_RETRY_MS = 50
+PLACEMENT_TRIES = 6
+
+
+class Attempt:
+    """One call of a lookup to one upstream."""
+
+    def __init__(self, item: UpstreamHealth, call: UpstreamCall, started: int):
+        self.item = item
+        self.call = call
+        self.started = started
+
+
+class AttemptFailed(Exception):
+    """An attempt brought no reply that may be passed on.
+
+    Parameters
+    ----------
+    failure : Failure
+        What went wrong.
+    detail : str
+        What was seen.
+    reply : Reply or None
+        The upstream's error reply, if it sent a whole one.
+    """
+
+    def __init__(self, failure: Failure, detail: str, reply: Reply | None = None):
+        super().__init__(detail)
+        self.failure = failure
+        self.detail = detail
+        self.reply = reply
+
+
+@components.register("lookups")
+class Lookups(Component):
+    """Carries out idempotent requests."""
+
+    def __init__(self, kernel: Kernel):
+        super().__init__(kernel)
+        self.clock = kernel.clock
+        self.settings = kernel.get(Settings)
+        self.health = kernel.get(Health)
+        self.upstreams = kernel.get(Upstreams)
+        self.balancer = kernel.get(Balancer)
+        self.limits = kernel.get(Limits)
+        self.placement = kernel.get(Placement)
+        self.metrics = kernel.get(Metrics)
+        self.hedging = hedging_policies.get(kernel.settings.policies.hedging)()
+
+    def run(self, service: Service, rule: Rule, request: Request) -> Reply:
+        """Return an upstream's whole reply, or one whose rest streams.
+
+        Raises
+        ------
+        ProxyError
+            With the kind that the caller is to see.
+        """
+        limits = self.limits.find(service)
+        with limits.gates[rule.work].enter(rule, request.deadline):
+            limits.retries.earn()
+            limits.hedges.earn()
+            return LookupRun(self, limits, service, rule, request).run()
+
+
+class LookupRun:
+    """One lookup on its way.
+
+    Parameters
+    ----------
+    owner : Lookups
+        Component with the collaborators.
+    limits : ServiceLimits
+        Budgets of the service.
+    service, rule, request : Service, Rule, Request
+        What is to be done.
+    """
+
+    def __init__(
+        self,
+        owner: Lookups,
+        limits: ServiceLimits,
+        service: Service,
+        rule: Rule,
+        request: Request,
+    ):
+        self._owner = owner
+        self._limits = limits
+        self._service = service
+        self._rule = rule
+        self._request = request
+        self._tried: set[str] = set()
+
+    def run(self) -> Reply:
+        """Try upstreams until one gives a reply that may be passed on."""
+        last = AttemptFailed(Failure.CONNECT, "no upstream accepts work")
+        for number in range(1, self._count_attempts() + 1):
+            if number > 1 and not self._may_retry():
+                break
+            item = self._owner.balancer.choose(self._service, self._tried)
+            if item is None:
+                break
+            try:
+                return self._attempt(item, number)
+            except AttemptFailed as failed:
+                last = failed
+                self._log(item, number, f"{failed.failure.value}: {failed.detail}")
+            if self._request.deadline.is_past():
+                break
+        raise self._make_error(last)
+
+    def _count_attempts(self) -> int:
+        """Return the attempts that the rule and the state of the settings allow."""
+        if self._owner.settings.standing() is not Standing.CONFIRMED:
+            return 1
+        return self._rule.attempts
+
+    def _may_retry(self) -> bool:
+        return not self._request.deadline.is_past() and self._limits.retries.spend()
+
+    def _make_error(self, last: AttemptFailed) -> ProxyError:
+        if not self._tried:
+            return ProxyError(ErrorKind.NO_UPSTREAM, last.detail, retry_after_ms=1_000)
+        if self._request.deadline.is_past():
+            return ProxyError(ErrorKind.DEADLINE_EXPIRED, last.detail)
+        if last.failure is Failure.REFUSED:
+            return ProxyError(
+                ErrorKind.UPSTREAM_REFUSED, last.detail, retry_after_ms=200
+            )
+        return ProxyError(ErrorKind.UPSTREAM_FAILED, last.detail)
+
+    # One attempt.
+
+    def _attempt(self, item: UpstreamHealth, number: int) -> Reply:
+        if self._rule.work is WorkClass.LONG and self._service.long_slots:
+            return self._attempt_long(item, number)
+        with ExitStack() as calls:
+            first = self._begin(item, calls)
+            second = self._hedge(first, calls)
+            attempt, reply = self._first_reply(first, second)
+            return self._pass_on(attempt, reply, calls, number)
+
+    def _attempt_long(self, item: UpstreamHealth, number: int) -> Reply:
+        item = self._find_placed(item)
+        with ExitStack() as calls:
+            placement = self._owner.placement
+            calls.callback(placement.give_up, item.upstream.id, self._request.id)
+            attempt = self._begin(item, calls)
+            return self._pass_on(attempt, self._finish(attempt), calls, number)
+
+    def _find_placed(self, item: UpstreamHealth) -> UpstreamHealth:
+        """Return an upstream with a leased long-work slot, waiting for one."""
+        placement = self._owner.placement
+        while not self._request.deadline.is_past():
+            refused = set(self._tried)
+            for _ in range(PLACEMENT_TRIES):
+                if placement.try_lease(self._service, item.upstream.id, self._request):
+                    return item
+                refused.add(item.upstream.id)
+                other = self._owner.balancer.choose(self._service, refused)
+                if other is None:
+                    break
+                item = other
+            self._owner.clock.sleep(PLACEMENT_RETRY_MS)
+        raise ProxyError(ErrorKind.DEADLINE_EXPIRED, "no slot for long work in time")
+
+    def _begin(self, item: UpstreamHealth, calls: ExitStack) -> Attempt:
+        """Open a connection and send the request."""
+        self._tried.add(item.upstream.id)
+        owner = self._owner
+        calls.enter_context(owner.balancer.count(item))
+        link = owner.upstreams.find_link(self._service, item.upstream)
+        call = calls.enter_context(UpstreamCall(link, self._request))
+        attempt = Attempt(item, call, owner.clock.now())
+        try:
+            call.open()
+            call.send()
+        except UpstreamError as error:
+            self._record(attempt, OutcomeKind.BAD)
+            raise AttemptFailed(error.failure, error.detail) from error
+        return attempt
+
+    def _hedge(self, first: Attempt, calls: ExitStack) -> Attempt | None:
+        """Start a second attempt if the first is late and the budget allows it."""
+        pulse = self._owner.health.find_pulse(self._service)
+        delay = self._owner.hedging.find_delay(self._rule, pulse)
+        if delay is None or first.call.wait(min(delay, self._request.deadline.left())):
+            return None
+        item = self._owner.balancer.choose(self._service, self._tried)
+        if item is None or not self._owner.hedging.may_hedge(self._limits.hedges):
+            return None
+        try:
+            second = self._begin(item, calls)
+        except AttemptFailed:
+            return None
+        self._log(item, 1, f"hedge after {delay} ms")
+        return second
+
+    def _first_reply(
+        self, first: Attempt, second: Attempt | None
+    ) -> tuple[Attempt, Reply]:
+        """Return the attempt that replied first, and its reply."""
+        if second is None:
+            return first, self._finish_or_time_out(first)
+        ready = wait_for_either(first, second, self._request.deadline)
+        if ready is None:
+            self._record(first, OutcomeKind.SLOW)
+            raise AttemptFailed(Failure.TIMEOUT, "neither attempt replied in time")
+        other = second if ready is first else first
+        try:
+            reply = self._finish(ready)
+        except AttemptFailed:
+            return other, self._finish(other)
+        if other is first:
+            self._record(first, OutcomeKind.SLOW)
+        return ready, reply
+
+    def _finish_or_time_out(self, attempt: Attempt) -> Reply:
+        """Wait for the reply, leaving time for the attempts that remain."""
+        remaining = max(1, self._count_attempts() - len(self._tried) + 1)
+        left = self._request.deadline.left()
+        if remaining > 1 and not attempt.call.wait(left // remaining):
+            self._record(attempt, OutcomeKind.SLOW)
+            raise AttemptFailed(Failure.TIMEOUT, f"no reply within {left // remaining}")
+        return self._finish(attempt)
+
+    def _finish(self, attempt: Attempt) -> Reply:
+        """Read the reply and judge it."""
+        try:
+            reply = attempt.call.read()
+        except UpstreamError as error:
+            is_late = error.failure is Failure.TIMEOUT
+            self._record(attempt, OutcomeKind.SLOW if is_late else OutcomeKind.BAD)
+            raise AttemptFailed(error.failure, error.detail) from error
+        if reply.status in self._service.refusal_statuses:
+            self._owner.balancer.note_shed(attempt.item)
+            self._limits.gates[self._rule.work].note_shed()
+            self._record(attempt, OutcomeKind.NEUTRAL)
+            raise AttemptFailed(Failure.REFUSED, f"status {reply.status}", reply)
+        if reply.status in FAILED_STATUSES:
+            self._record(attempt, OutcomeKind.BAD)
+            raise AttemptFailed(Failure.STATUS, f"status {reply.status}", reply)
+        self._record_good(attempt)
+        return reply
+
+    def _record_good(self, attempt: Attempt) -> None:
+        health = self._owner.health
+        duration = self._owner.clock.now() - attempt.started
+        if self._rule.work is WorkClass.LONG:
+            health.record(attempt.item, Outcome(OutcomeKind.GOOD, duration))
+            return
+        health.record(attempt.item, health.judge_duration(attempt.item, duration))
+
+    def _record(self, attempt: Attempt, kind: OutcomeKind) -> None:
+        duration = self._owner.clock.now() - attempt.started
+        self._owner.health.record(attempt.item, Outcome(kind, duration))
+
+    # The reply's way back.
+
+    def _pass_on(
+        self, attempt: Attempt, reply: Reply, calls: ExitStack, number: int
+    ) -> Reply:
+        """Return the reply; a streaming one keeps its connection until its end."""
+        self._log(attempt.item, number, f"status {reply.status}")
+        if reply.rest is None:
+            return reply
+        reply.rest = stream_with(calls.pop_all(), reply.rest)
+        return reply
+
+    def _log(self, item: UpstreamHealth, number: int, result: str) -> None:
+        log_event(
+            logger,
+            "route",
+            request=self._request.id,
+            service=self._service.name,
+            rule=self._rule.id,
+            upstream=item.upstream.id,
+            attempt=number,
+            result=result,
+            left_ms=self._request.deadline.left(),
+        )
+
+
+def stream_with(calls: ExitStack, rest: Iterator[bytes]) -> Iterator[bytes]:
+    """Yield the rest of a body and release its attempt at the end."""
+    with calls:
+        try:
+            yield from rest
+        except UpstreamError as error:
+            raise ProxyError(ErrorKind.UPSTREAM_FAILED, error.detail) from error
+
+
+def wait_for_either(
+    first: Attempt, second: Attempt, deadline: Deadline
+) -> Attempt | None:
+    """Return the attempt whose reply begins first, if one does in time."""
+    sockets = {first.call.socket: first, second.call.socket: second}
+    poller = select.poll()
+    by_number = {}
+    for sock, attempt in sockets.items():
+        poller.register(sock, select.POLLIN)
+        by_number[sock.fileno()] = attempt
+    ready = poller.poll(deadline.left())
+    return by_number[ready[0][0]] if ready else None
--- /dev/null
+++ b/damaskdyke/testbed/plans.py
@@ -0,0 +1,108 @@
+"""What a test fleet consists of, and the settings that follow from it."""
+
+from dataclasses import dataclass, field
+
+ZONES = ("suva", "lautoka", "labasa")
+
+LOOKUP_RULE = """
+[[services.{name}.rules]]
+id = "lookup"
+methods = ["GET", "HEAD"]
+path = "/{name}/pumps/"
+repeatability = "idempotent"
+deadline_ms = {deadline_ms}
+attempts = 3
+hedge = {hedge}
+"""
+
+LONG_RULE = """
+[[services.{name}.rules]]
+id = "record"
+methods = ["GET"]
+path = "/{name}/records/"
+repeatability = "idempotent"
+work = "long"
+deadline_ms = 60000
+attempts = 2
+"""
+
+ORDER_RULE = """
+[[services.{name}.rules]]
+id = "order"
+methods = ["POST"]
+path = "/{name}/callouts"
+repeatability = "non-idempotent"
+deadline_ms = {order_deadline_ms}
+attempts = 3
+max_body_bytes = 26214400
+"""
+
+
+@dataclass(frozen=True)
+class UpstreamPlan:
+    """One upstream of a fleet."""
+
+    id: str
+    address: str
+    zone: str
+
+
+@dataclass
+class ServicePlan:
+    """One service of a fleet."""
+
+    name: str = "crew-desk"
+    floor: int = 1
+    slots: int = 4
+    long_slots: int = 2
+    slow_ms: int = 0
+    hedge: bool = False
+    deadline_ms: int = 2_000
+    order_deadline_ms: int = 3_000
+    retry_percent: int = 10
+    has_probe: bool = True
+    upstreams: list[UpstreamPlan] = field(default_factory=list)
+
+    def to_toml(self) -> str:
+        """Return the branch of a team that has this one service."""
+        name = self.name
+        probe = f'"/{name}/pumps/probe"' if self.has_probe else '""'
+        lines = [
+            f"[services.{name}]",
+            f"floor = {self.floor}",
+            f"slots = {self.slots}",
+            f"long_slots = {self.long_slots}",
+            f"slow_ms = {self.slow_ms}",
+            f"retry_percent = {self.retry_percent}",
+            "refusal_statuses = [503]",
+            f"probe_path = {probe}",
+            "upstreams = [",
+        ]
+        for item in self.upstreams:
+            row = f'id = "{item.id}", address = "{item.address}", zone = "{item.zone}"'
+            lines.append(f"  {{ {row} }},")
+        lines.append("]")
+        text = "\n".join(lines)
+        text += LOOKUP_RULE.format(
+            name=name, deadline_ms=self.deadline_ms, hedge=str(self.hedge).lower()
+        )
+        text += LONG_RULE.format(name=name)
+        text += ORDER_RULE.format(name=name, order_deadline_ms=self.order_deadline_ms)
+        return text + f'\n[[routes]]\nprefix = "/{name}/"\nservice = "{name}"\n'
+
+
+@dataclass(frozen=True)
+class VmPlan:
+    """One row of the platform's list."""
+
+    address: str
+    role: str
+    state: str
+    zone: str
+
+    def to_toml(self) -> str:
+        """Return the row as TOML."""
+        return (
+            f'[[vms]]\naddress = "{self.address}"\nrole = "{self.role}"\n'
+            f'state = "{self.state}"\nzone = "{self.zone}"\n'
+        )
--- /dev/null
+++ b/damaskdyke/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Connections and calls to upstreams."""
--- /dev/null
+++ b/damaskdyke/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without state."""
--- /dev/null
+++ b/damaskdyke/utils/randomness.py
@@ -0,0 +1,33 @@
+"""Random identifiers and stable hashes."""
+
+import hashlib
+import secrets
+from collections.abc import Iterable
+
+from damaskdyke.core.ids import BootId, RequestId
+
+BOOT_BITS = 62
+REQUEST_BYTES = 8
+SCORE_BYTES = 8
+
+
+def draw_boot_id() -> BootId:
+    """Return a random boot id that is never zero."""
+    return BootId(secrets.randbits(BOOT_BITS) + 1)
+
+
+def draw_request_id() -> RequestId:
+    """Return a random request id."""
+    return RequestId(secrets.token_hex(REQUEST_BYTES))
+
+
+def hash_score(*parts: str) -> int:
+    """Return a stable number for a sequence of texts, for rendezvous hashing."""
+    text = "\x00".join(parts).encode()
+    digest = hashlib.blake2b(text, digest_size=SCORE_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
+def rank_by_score(key: str, names: Iterable[str]) -> list[str]:
+    """Return ``names`` in rendezvous order for ``key``, highest score first."""
+    return sorted(names, key=lambda name: hash_score(key, name), reverse=True)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers: tests, models, generated code and the binary."""
