Answer a second copy of a hand-over like the first

Cause: spin found a run of the order protocol in which an order said to be "not run" ran. A successor refused a duplicated copy with "accepted before"; the sender took the refusal for a definite one and sent the ledger to a second successor, and both held the ticket. Ruled out: a fault of the model alone, since Orders.answer_hand_over did refuse.

Change: a ledger that was accepted before is answered as accepted, also while draining.

--- a/damaskdyke/orders/component.py
+++ b/damaskdyke/orders/component.py
@@ -426,10 +426,11 @@
         except ValueError as error:
             return HandoverReply(False, f"not valid: {error}")
         with self._lock:
+            if ledger.boot in self._ledgers:
+                # A refusal of a second copy would read as if none had arrived.
+                return HandoverReply(True, "accepted before")
             if not self._accepts:
                 return HandoverReply(False, "this proxy is stopping")
-            if ledger.boot in self._ledgers:
-                return HandoverReply(False, "accepted before")
             self._ledgers[ledger.boot] = ledger
         self._announce(ledger, self._own, self.kernel.boot)
         self._log_handover(ledger, self._own, "adopted")
--- /dev/null
+++ b/spec/settings.pml
@@ -0,0 +1,134 @@
+/*
+ * Settings: one branch with versions 1 to 3, three proxies that restart, and
+ * a platform whose readers may be served any older revision.
+ *
+ * Checked: a proxy never serves an older version than it served before, and a
+ * restarted proxy never serves less than what was once in force on every
+ * ready proxy, as long as one ready proxy is left to compare with.
+ */
+#define N 3
+#define NEWEST 3
+
+byte published = 1;
+byte version[N];
+byte served[N];
+bool is_ready[N];
+byte everywhere;
+byte restarts;
+
+/* Version that was in force on every ready proxy at some moment. */
+inline note_everywhere() {
+    if
+    :: (is_ready[0] || is_ready[1] || is_ready[2]) ->
+        byte least = NEWEST;
+        byte k;
+        for (k : 0 .. N - 1) {
+            if
+            :: is_ready[k] && version[k] < least -> least = version[k]
+            :: else -> skip
+            fi
+        }
+        if
+        :: least > everywhere -> everywhere = least
+        :: else -> skip
+        fi;
+        k = 0;
+        least = 0
+    :: else -> skip
+    fi
+}
+
+/* Store.offer */
+inline offer(i, number) {
+    if
+#ifdef BROKEN_TAKE_ANY_VERSION
+    :: number > 0 -> version[i] = number
+#else
+    :: number > version[i] -> version[i] = number
+    :: else -> skip
+#endif
+    fi;
+    note_everywhere()
+}
+
+active proctype Platform() {
+    do
+    :: published < NEWEST -> published++
+    :: published == NEWEST -> break
+    od
+}
+
+proctype Proxy(byte i) {
+    byte peer;
+    byte number;
+
+    do
+    /* Settings._take_index: any revision up to the newest is served. */
+    :: atomic {
+           number = 1;
+           do
+           :: number < published -> number++
+           :: break
+           od;
+           offer(i, number);
+           number = 0
+       }
+    /* Settings.read and _pull: versions of a peer, which may be old. */
+    :: atomic {
+           peer = (i + 1) % N;
+           if
+           :: skip
+           :: peer = (i + 2) % N
+           fi;
+           offer(i, version[peer]);
+#ifdef BROKEN_COMPARE_WITH_BOOTING
+           if
+           :: !is_ready[i] && version[i] > 0 -> is_ready[i] = true
+           :: else -> skip
+           fi;
+#else
+           /* Settings._is_compared: a ready peer was heard. */
+           if
+           :: !is_ready[i] && is_ready[peer] && version[i] > 0 -> is_ready[i] = true
+           :: else -> skip
+           fi;
+#endif
+           note_everywhere();
+           peer = 0
+       }
+    /* Start of the whole fleet: nobody is ready. */
+    :: atomic {
+           (!is_ready[0] && !is_ready[1] && !is_ready[2] && version[i] > 0
+            && everywhere == 0) ->
+           is_ready[i] = true;
+           note_everywhere()
+       }
+#ifdef BROKEN_NO_COMPARISON
+    :: atomic { (!is_ready[i] && version[i] > 0) -> is_ready[i] = true }
+#endif
+    /* A request is served. */
+    :: atomic {
+           is_ready[i] ->
+           assert(version[i] >= served[i]);
+           assert(version[i] >= everywhere);
+           served[i] = version[i]
+       }
+    /* The VM is replaced; another ready proxy is left. */
+    :: atomic {
+           (restarts < 3 && (!is_ready[i] || is_ready[(i + 1) % N]
+            || is_ready[(i + 2) % N])) ->
+           restarts++;
+           version[i] = 0;
+           served[i] = 0;
+           is_ready[i] = false
+       }
+    od
+}
+
+init {
+    atomic {
+        run Proxy(0);
+        run Proxy(1);
+        run Proxy(2)
+    }
+}
--- /dev/null
+++ b/tests/orders/test_handover.py
@@ -0,0 +1,109 @@
+import unittest
+
+from damaskdyke.conf.daemon import OrderSettings
+from damaskdyke.core.clock import Deadline, ManualClock
+from damaskdyke.core.ids import Address, BootId
+from damaskdyke.orders.component import Orders
+from damaskdyke.orders.handover import make_handover, read_ledger
+from damaskdyke.orders.ledger import EntryState, Ledger
+from damaskdyke.orders.messages import Outcome
+from damaskdyke.upstreams.messages import Header, Reply
+from tests.kernels import make_kernel
+
+HOME = Address("127.0.0.9:9000")
+
+
+class HandoverTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(5_000)
+        self.ledger = Ledger(HOME, BootId(7), OrderSettings(), self.clock)
+
+    def send(self, successor_boot=9):
+        message = make_handover(self.ledger, BootId(successor_boot), self.clock)
+        return read_ledger(message, OrderSettings(), self.clock)
+
+    def test_issued_ticket_lives_on(self):
+        ticket = self.ledger.issue()
+        adopted = self.send()
+        self.assertTrue(ticket.is_authentic(adopted.secret))
+        self.assertIsNone(adopted.claim(ticket.sequence, b"x"))
+
+    def test_dispatched_order_becomes_unknown(self):
+        ticket = self.ledger.issue()
+        self.ledger.claim(ticket.sequence, b"x")
+        self.dispatch(ticket.sequence)
+        adopted = self.send()
+        self.assertIs(adopted.look_up(ticket.sequence).outcome, Outcome.UNKNOWN)
+        self.assertIs(adopted.claim(ticket.sequence, b"x").outcome, Outcome.UNKNOWN)
+
+    def dispatch(self, sequence):
+        self.assertTrue(self.ledger.dispatch(sequence, Deadline(self.clock, 100)))
+
+    def test_claimed_order_cannot_be_dispatched_after_the_seal(self):
+        ticket = self.ledger.issue()
+        self.ledger.claim(ticket.sequence, b"x")
+        self.send()
+        deadline = Deadline(self.clock, 100)
+        self.assertFalse(self.ledger.dispatch(ticket.sequence, deadline))
+
+    def test_sealed_ledger_never_says_not_run(self):
+        claimed, issued = self.ledger.issue(), self.ledger.issue()
+        self.ledger.claim(claimed.sequence, b"x")
+        self.send()
+        result = self.ledger.settle(claimed.sequence, EntryState.NOT_RUN, "no")
+        self.assertIs(result.outcome, Outcome.PENDING)
+        self.assertIs(self.ledger.withdraw(issued.sequence).outcome, Outcome.PENDING)
+
+    def test_reply_is_handed_over_whole(self):
+        ticket = self.ledger.issue()
+        self.ledger.claim(ticket.sequence, b"x")
+        self.dispatch(ticket.sequence)
+        reply = Reply(201, (Header("A", "b"),), b"body", 4)
+        self.ledger.answer(ticket.sequence, reply)
+        result = self.send().look_up(ticket.sequence)
+        self.assertIs(result.outcome, Outcome.ANSWERED)
+        self.assertEqual(result.reply.body, b"body")
+        self.assertEqual(result.reply.status, 201)
+
+    def test_time_left_is_carried_over(self):
+        ticket = self.ledger.issue()
+        self.clock.advance(OrderSettings().ticket_lifetime_ms - 10)
+        adopted = self.send()
+        self.clock.advance(11)
+        result = adopted.claim(ticket.sequence, b"x")
+        self.assertIs(result.outcome, Outcome.EXPIRED)
+
+
+class AdoptionTest(unittest.TestCase):
+    def setUp(self):
+        self.kernel = make_kernel()
+        self.orders = self.kernel.get(Orders)
+        self.ledger = Ledger(HOME, BootId(7), OrderSettings(), self.kernel.clock)
+        self.ticket = self.ledger.issue()
+
+    def make_message(self, boot=None):
+        boot = self.kernel.boot if boot is None else boot
+        return make_handover(self.ledger, boot, self.kernel.clock)
+
+    def test_second_copy_is_answered_like_the_first_and_changes_nothing(self):
+        message = self.make_message()
+        self.assertTrue(self.orders.answer_hand_over(message).accepted)
+        self.orders.withdraw(self.ticket.text, "r")
+        # A refusal here would let the sender try a second successor.
+        self.assertTrue(self.orders.answer_hand_over(message).accepted)
+        result = self.orders.look_up(self.ticket.text, "r")
+        self.assertIs(result.outcome, Outcome.NOT_RUN)
+
+    def test_second_copy_is_accepted_while_draining(self):
+        message = self.make_message()
+        self.assertTrue(self.orders.answer_hand_over(message).accepted)
+        self.orders.stop_issuing()
+        self.assertTrue(self.orders.answer_hand_over(message).accepted)
+
+    def test_first_copy_is_refused_while_draining(self):
+        self.orders.stop_issuing()
+        self.assertFalse(self.orders.answer_hand_over(self.make_message()).accepted)
+
+    def test_copy_for_another_incarnation_is_refused(self):
+        message = self.make_message(boot=BootId(self.kernel.boot + 1))
+        self.assertFalse(self.orders.answer_hand_over(message).accepted)
--- /dev/null
+++ b/tools/run_models.py
@@ -0,0 +1,107 @@
+"""Checks the Promela models, and that spin refutes every broken variant."""
+
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+SPEC = Path(__file__).resolve().parent.parent / "spec"
+DEPTH = 1_000_000
+MEMORY_MB = 2_500
+PARALLEL = 4
+VARIANT = re.compile(r"BROKEN_\w+")
+STATES = re.compile(r"(\d+(?:\.\d+e[+-]?\d+)?) states, stored")
+ERRORS = re.compile(r"errors: (\d+)")
+
+
+@dataclass(frozen=True)
+class Result:
+    """What spin found for one variant of a model."""
+
+    states: int
+    errors: int
+    is_complete: bool
+
+
+def find_variants(model: Path) -> list[str]:
+    """Return the broken variants of a model in alphabetical order."""
+    return sorted(set(VARIANT.findall(model.read_text())))
+
+
+def check(model: Path, variant: str | None) -> Result:
+    """Run spin on one variant of a model.
+
+    Raises
+    ------
+    subprocess.CalledProcessError
+        If the model does not compile.
+    """
+    options = [f"-D{variant}"] if variant else []
+    with tempfile.TemporaryDirectory() as directory:
+        run = {"cwd": directory, "check": True, "capture_output": True, "text": True}
+        subprocess.run(["spin", *options, "-a", str(model)], **run)
+        limits = [f"-DMEMLIM={MEMORY_MB}", "-DCOLLAPSE", "-DSAFETY"]
+        subprocess.run(["cc", "-O2", "-w", *limits, "-o", "pan", "pan.c"], **run)
+        done = subprocess.run(
+            ["./pan", "-E", f"-m{DEPTH}"], cwd=directory, capture_output=True, text=True
+        )
+    return read_result(done.stdout)
+
+
+def read_result(text: str) -> Result:
+    """Return the result in spin's report."""
+    states = STATES.search(text)
+    errors = ERRORS.search(text)
+    incomplete = "max search depth too small" in text or "out of memory" in text
+    return Result(
+        states=int(float(states.group(1))) if states else 0,
+        errors=int(errors.group(1)) if errors else 1,
+        is_complete=not incomplete,
+    )
+
+
+def install_spin() -> None:
+    """Install spin from Debian's packages if it is missing."""
+    if shutil.which("spin"):
+        return
+    subprocess.run(["apt-get", "update", "-qq"], check=True)
+    subprocess.run(["apt-get", "install", "-y", "-qq", "spin"], check=True)
+
+
+def check_model(model: Path, pool: ThreadPoolExecutor) -> list[str]:
+    """Check a model and its broken variants, and return the failures."""
+    failures = []
+    variants = find_variants(model)
+    results = list(pool.map(lambda variant: check(model, variant), [None, *variants]))
+    whole, broken = results[0], results[1:]
+    print(f"{model.name}: {whole.states} states, {whole.errors} errors", flush=True)
+    if whole.errors or not whole.is_complete:
+        failures.append(f"{model.name}: errors or an incomplete search")
+    for variant, result in zip(variants, broken, strict=True):
+        verdict = "refuted" if result.errors else "NOT REFUTED"
+        print(f"  {variant}: {verdict} after {result.states} states", flush=True)
+        if not result.errors:
+            failures.append(f"{model.name}: {variant} was not refuted")
+    return failures
+
+
+def main(arguments: list[str]) -> int:
+    """Check the models that are named, by default all."""
+    install_spin()
+    models = [SPEC / name for name in arguments] or sorted(SPEC.glob("*.pml"))
+    failures = []
+    with ThreadPoolExecutor(PARALLEL) as pool:
+        for model in models:
+            failures += check_model(model, pool)
+    for failure in failures:
+        print(f"failed: {failure}")
+    print(f"{len(models)} models, {len(failures)} failures")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
