Let a starting proxy serve only after it compared settings with a ready peer

The code made any exchange count as a comparison, and let a proxy that heard nobody serve after a grace time.

Change: an exchange says whether its sender is ready; a starting proxy is ready once it holds all that a ready peer has. Without a ready peer it goes on only where half of the listed peers are starting too, or where no peer is listed.

--- a/damaskdyke/distribution/component.py
+++ b/damaskdyke/distribution/component.py
@@ -62,6 +62,8 @@
         self._mismatches: dict[Address, int] = {}
         self._platform_at: Millis | None = None
         self._started_at = kernel.clock.now()
+        self._is_started = False
+        self._booting_peers: set[Address] = set()
         self.platform_reads = 0
         self._membership.add_part(self)
         self._metrics.observe("damaskdyke.settings.bad", self.store.count_bad)
@@ -112,10 +114,43 @@
         self._read_once()
 
     def _is_compared(self) -> bool:
-        if self._membership.compared.is_set():
-            return True
+        """Return whether this proxy may serve with the settings it has.
+
+        A proxy that starts may be served an old revision by the platform, so it waits
+        until it has compared its settings with a ready peer. Only where the whole
+        fleet starts, and at least half of the listed peers say that they are starting
+        too, or where no peer is listed, does it go on without one.
+        """
+        if not self._is_started:
+            self._is_started = self._is_alone() or self._is_fleet_starting()
+        return self._is_started
+
+    def _is_alone(self) -> bool:
+        return len(self.store) > 0 and not self._membership.has_known_peers()
+
+    def _is_fleet_starting(self) -> bool:
         waited = self._clock.now() - self._started_at
-        return waited >= self._timing.boot_grace_ms
+        if waited < self._timing.boot_grace_ms:
+            return False
+        return 2 * len(self._booting_peers) >= self._membership.count_listed()
+
+    def _note_standing(self, sender: Address, offer: Exchange) -> None:
+        """Take note of whether a peer is ready, and compare with it if it is."""
+        if self._is_started:
+            return
+        if not offer.is_ready:
+            self._booting_peers.add(sender)
+            return
+        self._booting_peers.discard(sender)
+        if offer.tree_hash == self.store.tree_hash:
+            self._is_started = True
+            return
+        self.kernel.spawn("settings-compare", self._compare_with, sender)
+
+    def _compare_with(self, address: Address) -> None:
+        """Take in everything that a ready peer has, and then be ready."""
+        if self._pull_all(address):
+            self._is_started = True
 
     def _is_confirmed(self) -> bool:
         limit = self._clock.now() - self._timing.settings_lease_ms
@@ -186,9 +221,11 @@
         """Add the tree hash and the versions that changed of late."""
         offer.tree_hash = self.store.tree_hash
         offer.changed = [version.to_message() for version in self._rumors.take()]
+        offer.is_ready = self.standing() is not Standing.BOOTING
 
     def read(self, sender: Address, offer: Exchange) -> None:
         """Pull what the sender has newer."""
+        self._note_standing(sender, offer)
         versions = [read_version(message) for message in offer.changed]
         newer = self.store.list_newer(versions)
         if newer:
@@ -203,32 +240,37 @@
             self._mismatches[sender] = 0
             self.kernel.spawn("settings-pull", self._pull_all, sender)
 
-    def _pull_all(self, address: Address) -> None:
+    def _pull_all(self, address: Address) -> bool:
+        """Take in everything that a peer has newer; return whether all came."""
         timeout = self._timing.peer_timeout_ms
         try:
             messages = self._membership.pool.call(
                 address, timeout, lambda client: client.list_versions()
             )
         except PeerCallError:
-            return
-        newer = self.store.list_newer([read_version(item) for item in messages])
-        self._pull(address, newer)
+            return False
+        return self._pull(address, [read_version(item) for item in messages])
 
-    def _pull(self, address: Address, versions: list[Version]) -> None:
-        timeout = self._timing.peer_timeout_ms
+    def _pull(self, address: Address, versions: list[Version]) -> bool:
         with self._pull_lock:
             for version in self.store.list_newer(versions):
-                wanted = [version.to_message()]
-                try:
-                    messages = self._membership.pool.call(
-                        address,
-                        timeout,
-                        lambda client, wanted=wanted: client.fetch_branches(wanted),
-                    )
-                except PeerCallError:
-                    return
-                for message in messages:
-                    self._offer(read_document(message), address)
+                if not self._pull_one(address, version):
+                    return False
+        return True
+
+    def _pull_one(self, address: Address, version: Version) -> bool:
+        wanted = [version.to_message()]
+        try:
+            messages = self._membership.pool.call(
+                address,
+                self._timing.peer_timeout_ms,
+                lambda client: client.fetch_branches(wanted),
+            )
+        except PeerCallError:
+            return False
+        for message in messages:
+            self._offer(read_document(message), address)
+        return True
 
     def _offer(self, document, source: str) -> None:
         result = self.store.offer(document)
--- a/damaskdyke/membership/component.py
+++ b/damaskdyke/membership/component.py
@@ -61,7 +61,6 @@
         self._heard_at: Millis | None = None
         self._full_at = Millis(0)
         self._alive_count = 1
-        self.compared = threading.Event()
 
     def add_part(self, part: ExchangePart) -> None:
         """Let another component's state ride on the exchanges."""
@@ -98,6 +97,11 @@
         """Return whether any other proxy is known or listed."""
         return bool(self._seeds) or bool(self.table.list_others())
 
+    def count_listed(self) -> int:
+        """Return how many other proxies the settings or the platform list."""
+        with self._lock:
+            return len(self._seeds)
+
     def is_known(self, address: Address) -> bool:
         """Return whether an address belongs to a proxy that is or was a member."""
         return address in self._seeds or self.table.find(address) is not None
@@ -128,6 +132,7 @@
                 for record in self._forward_rumors.take()
             ],
             want_all=want_all,
+            is_ready=False,
         )
         for part in self._parts:
             part.fill(offer)
@@ -150,7 +155,6 @@
         self._merge_forwards(offer.forwards)
         for part in self._parts:
             part.read(Address(offer.sender.address), offer)
-        self.compared.set()
 
     def exchange_with(self, address: Address, fresh: bool = False) -> Exchange:
         """Carry out one exchange with a peer and return its answer.
--- a/damaskdyke/peers/gen/peer/ttypes.py
+++ b/damaskdyke/peers/gen/peer/ttypes.py
@@ -627,6 +627,7 @@
      - evidence
      - forwards
      - want_all: Whether the receiver should answer with its whole member table.
+     - is_ready: Whether the sender serves callers with settings it has compared.
 
     """
 
@@ -638,10 +639,11 @@
         'evidence',
         'forwards',
         'want_all',
+        'is_ready',
     )
 
 
-    def __init__(self, sender=None, tree_hash=None, changed=None, members=None, evidence=None, forwards=None, want_all=None,):
+    def __init__(self, sender=None, tree_hash=None, changed=None, members=None, evidence=None, forwards=None, want_all=None, is_ready=None,):
         self.sender = sender
         self.tree_hash = tree_hash
         self.changed = changed
@@ -649,6 +651,7 @@
         self.evidence = evidence
         self.forwards = forwards
         self.want_all = want_all
+        self.is_ready = is_ready
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -719,6 +722,11 @@
                     self.want_all = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.is_ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -769,6 +777,10 @@
             oprot.writeFieldBegin('want_all', TType.BOOL, 7)
             oprot.writeBool(self.want_all)
             oprot.writeFieldEnd()
+        if self.is_ready is not None:
+            oprot.writeFieldBegin('is_ready', TType.BOOL, 8)
+            oprot.writeBool(self.is_ready)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -787,6 +799,8 @@
             raise TProtocolException(message='Required field forwards is unset!')
         if self.want_all is None:
             raise TProtocolException(message='Required field want_all is unset!')
+        if self.is_ready is None:
+            raise TProtocolException(message='Required field is_ready is unset!')
         return
 
     def __repr__(self):
@@ -1914,6 +1928,7 @@
     (5, TType.LIST, 'evidence', (TType.STRUCT, [Evidence, None], False), None, ),  # 5
     (6, TType.LIST, 'forwards', (TType.STRUCT, [Forward, None], False), None, ),  # 6
     (7, TType.BOOL, 'want_all', None, None, ),  # 7
+    (8, TType.BOOL, 'is_ready', None, None, ),  # 8
 )
 all_structs.append(Header)
 Header.thrift_spec = (
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -53,7 +53,9 @@
   5: required list<Evidence> evidence,
   6: required list<Forward> forwards,
   /** Whether the receiver should answer with its whole member table. */
-  7: required bool want_all
+  7: required bool want_all,
+  /** Whether the sender serves callers with settings it has compared. */
+  8: required bool is_ready
 }
 
 struct Header {
--- /dev/null
+++ b/tests/distribution/test_boot.py
@@ -0,0 +1,60 @@
+import hashlib
+import unittest
+
+from damaskdyke.core.ids import Address, BranchName
+from damaskdyke.distribution.component import Settings, Standing
+from damaskdyke.distribution.documents import Document, Version
+from damaskdyke.membership.component import Membership
+from damaskdyke.peers.gen.peer.ttypes import Exchange, Member
+from tests.kernels import make_kernel
+
+PEERS = (Address("127.0.0.5:1"), Address("127.0.0.6:1"), Address("127.0.0.7:1"))
+
+
+def make_document(number, text=b""):
+    version = Version(BranchName("pumps"), number, hashlib.sha256(text).digest())
+    return Document(version, text)
+
+
+class BootTest(unittest.TestCase):
+    def setUp(self):
+        self.kernel = make_kernel(seeds=PEERS)
+        self.settings = self.kernel.get(Settings)
+        self.membership = self.kernel.get(Membership)
+        self.settings.store.offer(make_document(1))
+
+    def hear(self, peer, is_ready, tree_hash=None):
+        tree_hash = self.settings.store.tree_hash if tree_hash is None else tree_hash
+        member = Member(peer, 5, "suva", 0, 1)
+        offer = Exchange(member, tree_hash, [], [], [], [], False, is_ready)
+        self.membership.read_offer(offer)
+
+    def test_booting_peer_does_not_make_ready(self):
+        self.hear(PEERS[0], is_ready=False)
+        self.assertIs(self.settings.standing(), Standing.BOOTING)
+
+    def test_ready_peer_with_the_same_tree_makes_ready(self):
+        self.hear(PEERS[0], is_ready=True)
+        self.assertIs(self.settings.standing(), Standing.CONFIRMED)
+
+    def test_ready_peer_that_cannot_be_read_does_not_make_ready(self):
+        self.hear(PEERS[0], is_ready=True, tree_hash=b"other")
+        self.assertIs(self.settings.standing(), Standing.BOOTING)
+
+    def test_proxy_that_hears_nobody_never_becomes_ready(self):
+        self.kernel.clock.advance(1_000_000)
+        self.assertIs(self.settings.standing(), Standing.BOOTING)
+
+    def test_fleet_that_starts_as_a_whole_becomes_ready(self):
+        self.hear(PEERS[0], is_ready=False)
+        self.kernel.clock.advance(self.kernel.settings.timing.boot_grace_ms)
+        self.assertIs(self.settings.standing(), Standing.BOOTING)
+        self.hear(PEERS[1], is_ready=False)
+        self.assertIs(self.settings.standing(), Standing.CONFIRMED)
+
+    def test_proxy_without_listed_peers_is_ready_with_settings(self):
+        kernel = make_kernel()
+        settings = kernel.get(Settings)
+        self.assertIs(settings.standing(), Standing.BOOTING)
+        settings.store.offer(make_document(1))
+        self.assertIs(settings.standing(), Standing.CONFIRMED)
