Test orders under kills, freezes, cuts and upstream faults with real processes

Cause: the order protocol was checked as a model only. The tests run 3 or 4 proxies and 3 upstreams as processes, with a relay in front of each peer port that swallows one direction, and read the upstreams' own record of runs.

--- a/damaskdyke/conf/daemon.py
+++ b/damaskdyke/conf/daemon.py
@@ -55,13 +55,32 @@
 
 @dataclass(frozen=True)
 class DaemonSettings:
-    """Everything that a proxy process is told when it starts."""
+    """Everything that a proxy process is told when it starts.
+
+    Parameters
+    ----------
+    address : Address
+        Where callers and the balancer connect.
+    peer_address : Address
+        Where peers connect.
+    zone : ZoneName
+        Availability zone of the VM.
+    platform : Address
+        The platform's configuration service.
+    seeds : tuple of Address
+        Peer addresses to start from.
+    peer_listen : Address, optional
+        Where to listen for peers, if that is not ``peer_address``.
+    threads : int
+        Threads that answer callers.
+    """
 
     address: Address
     peer_address: Address
     zone: ZoneName
     platform: Address
     seeds: tuple[Address, ...] = ()
+    peer_listen: Address = Address("")
     threads: int = 64
     log: LogSettings = field(default_factory=LogSettings)
     orders: OrderSettings = field(default_factory=OrderSettings)
@@ -137,6 +156,7 @@
     zone = make_name(required=True)
     platform = make_address(required=True)
     seeds = fields.List(make_address())
+    peer_listen = make_address()
     threads = make_count(4, 1_024)
     log = fields.Nested(LogSchema)
     orders = fields.Nested(OrderSchema)
--- a/damaskdyke/peers/component.py
+++ b/damaskdyke/peers/component.py
@@ -81,7 +81,7 @@
 
     def __init__(self, kernel: Kernel):
         super().__init__(kernel)
-        address = kernel.settings.peer_address
+        address = kernel.settings.peer_listen or kernel.settings.peer_address
         self._server = PeerServer(kernel, address, PeerHandler(kernel))
 
     def start(self) -> None:
--- a/damaskdyke/testbed/fleet.py
+++ b/damaskdyke/testbed/fleet.py
@@ -14,6 +14,7 @@
     make_address,
     wait_for,
 )
+from damaskdyke.testbed.relay import Relay
 
 PLATFORM_HOST = "127.0.0.1"
 UPSTREAM_HOST = "127.0.0.2"
@@ -36,6 +37,8 @@
         Further TOML for every proxy's file.
     queue : int
         Requests that an upstream lets wait.
+    has_relays : bool
+        Whether peers reach each proxy through a relay with faults.
     """
 
     proxies: int = 3
@@ -43,6 +46,7 @@
     services: list[ServicePlan] = field(default_factory=lambda: [ServicePlan()])
     proxy_settings: str = ""
     queue: int = 8
+    has_relays: bool = False
 
 
 @dataclass(frozen=True)
@@ -123,10 +127,23 @@
 class StoodProxy(Stood):
     """A proxy of the fleet."""
 
-    def __init__(self, address: str, peer_address: str, zone: str, process):
+    def __init__(
+        self,
+        address: str,
+        peer_address: str,
+        zone: str,
+        process: ChildProcess,
+        relay: Relay | None,
+    ):
         super().__init__(address, process)
         self.peer_address = peer_address
         self.zone = zone
+        self.relay = relay
+
+    def restart(self) -> None:
+        """Start a new process with empty memory at the same addresses."""
+        self.process.stop()
+        self.process.start()
 
     def read_status(self) -> dict[str, Any]:
         """Return the proxy's report."""
@@ -178,6 +195,9 @@
         for item in [*self.proxies, *self.upstreams, self.platform]:
             if item is not None:
                 item.process.stop()
+        for proxy in self.proxies:
+            if proxy.relay is not None:
+                proxy.relay.__exit__()
         self._directory.cleanup()
 
     # Start.
@@ -228,26 +248,30 @@
         for number in range(self.plan.proxies):
             self.add_proxy(number)
 
-    def add_proxy(
-        self, number: int, settings: str = "", addresses: tuple[str, str] | None = None
-    ) -> StoodProxy:
+    def add_proxy(self, number: int, seeds: list[str] | None = None) -> StoodProxy:
         """Start one proxy."""
         zone = ZONES[number % len(ZONES)]
         host = f"127.0.{10 + number % len(ZONES)}.{1 + number // len(ZONES)}"
-        address, peer_address = addresses or (make_address(host), make_address(host))
-        seeds = [item.peer_address for item in self.proxies[:3]]
+        address, peer_address = make_address(host), make_address(host)
+        if seeds is None:
+            seeds = [item.peer_address for item in self.proxies[:3]]
+        listen = ""
+        relay = None
+        if self.plan.has_relays:
+            listen = f'peer_listen = "{make_address(host)}"\n'
+            relay = Relay(peer_address, listen.split('"')[1]).__enter__()
         file = self._path / f"proxy-{number}.toml"
         file.write_text(
             f'address = "{address}"\npeer_address = "{peer_address}"\n'
             f'zone = "{zone}"\nplatform = "{self.platform.address}"\n'
-            f"seeds = {json.dumps(seeds)}\n"
-            f"{settings or self.plan.proxy_settings}\n"
+            f"seeds = {json.dumps(seeds)}\n{listen}"
+            f"{self.plan.proxy_settings}\n"
         )
         process = self._make_process(
             f"proxy-{number}", "proxy", "--settings", str(file)
         )
         process.start()
-        proxy = StoodProxy(address, peer_address, zone, process)
+        proxy = StoodProxy(address, peer_address, zone, process, relay)
         self.proxies.append(proxy)
         return proxy
 
