--- a/damaskdyke/health/corroborated.py
+++ b/damaskdyke/health/corroborated.py
@@ -57,6 +57,7 @@
 
     def review(self, item: UpstreamHealth, now: Millis) -> None:
         """Set the state that the fresh evidence calls for."""
+        self._keep_floor(item)
         records = self.health.collect_records(item)
         with item.lock:
             own = item.window.count(now)
@@ -68,6 +69,13 @@
         elif item.state is not FitState.FIT and now >= item.hold_until:
             self._consider_return(item, verdict, records)
 
+    def _keep_floor(self, item: UpstreamHealth) -> None:
+        """End an ejection that the settings in force no longer allow."""
+        if item.state is not FitState.EJECTED:
+            return
+        if item.upstream.id not in self.health.list_ejectable(item.service):
+            self.health.set_state(item, FitState.DEMOTED, "floor")
+
     def _take_out(self, item: UpstreamHealth, now: Millis) -> None:
         ejectable = self.health.list_ejectable(item.service)
         is_ejectable = item.upstream.id in ejectable
--- a/damaskdyke/health/floor.py
+++ b/damaskdyke/health/floor.py
@@ -1,11 +1,11 @@
 """Which upstreams may ever be ejected, so that the floor holds under any views.
 
 Healthy capacity of a service is the number of its upstreams that are listed, not
-leaving, fit for work, and open to ordinary requests on every proxy. Ejection is only
-ever allowed for the members of a set that follows from the settings alone: it has
-``size - floor`` members, so even the union of what all proxies eject, in any parts of
-a divided fleet, leaves ``floor`` upstreams open. Any other faulty upstream is demoted:
-it is used only when no fit upstream has a free slot.
+leaving, and may be given ordinary requests by every proxy. Ejection is only ever
+allowed for the members of a set that follows from the settings alone: it has ``size -
+floor`` members, so even the union of what all proxies eject, in any parts of a divided
+fleet, leaves ``floor`` upstreams. Any other faulty upstream is demoted, which takes no
+capacity away: it is used when no fit upstream has a free slot.
 """
 
 from collections.abc import Iterable
--- a/damaskdyke/testbed/upstream.py
+++ b/damaskdyke/testbed/upstream.py
@@ -61,6 +61,8 @@
         Address prefix of the callers that see the faults; all by default.
     draining : bool
         Close each connection after its request.
+    no_echo : bool
+        Leave the id of the request out of the reply.
     """
 
     slow_factor: float = 1.0
@@ -75,6 +77,7 @@
     flap_ms: int = 0
     only_from: str = ""
     draining: bool = False
+    no_echo: bool = False
 
 
 @dataclass(frozen=True)
@@ -267,6 +270,8 @@
             text = head + b"\n" + FILL * max(0, size - len(head) - 1)
             request_id = self.headers.get("Request-Id", "")
             headers = {"Request-Id": "other" if faults.wrong else request_id}
+            if faults.no_echo:
+                headers = {}
             if faults.draining:
                 headers["Connection"] = "close"
                 self.close_connection = True
--- /dev/null
+++ b/tests/health/test_floor.py
@@ -0,0 +1,143 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from damaskdyke.conf.tree import Service, Upstream
+from damaskdyke.core.clock import ManualClock
+from damaskdyke.core.ids import BranchName, ServiceName
+from damaskdyke.distribution.component import Settings
+from damaskdyke.health.component import Health
+from damaskdyke.health.evidence import EvidenceRecord
+from damaskdyke.health.floor import FloorGuard, choose_ejectable
+from damaskdyke.health.states import FitState, Outcome, OutcomeKind
+from damaskdyke.health.window import Counts
+from tests.kernels import make_kernel
+
+
+def make_service(size, floor):
+    upstreams = tuple(
+        Upstream(f"up-{number}", f"127.0.0.2:{1000 + number}", "suva")
+        for number in range(size)
+    )
+    return Service(
+        name=ServiceName("desk"),
+        branch=BranchName("pumps"),
+        floor=floor,
+        slots=4,
+        long_slots=0,
+        connections=330,
+        retry_percent=10,
+        refusal_statuses=frozenset(),
+        probe_path="",
+        slow_ms=0,
+        upstreams=upstreams,
+        rules=(),
+    )
+
+
+sizes = st.integers(min_value=0, max_value=40)
+
+
+class EjectableTest(unittest.TestCase):
+    @given(sizes, sizes, st.permutations(range(40)))
+    def test_set_leaves_the_floor_and_has_no_memory_of_order(self, size, floor, order):
+        names = [f"up-{number}" for number in range(size)]
+        mixed = [f"up-{number}" for number in order if number < size]
+        chosen = choose_ejectable("desk", names, floor)
+        self.assertEqual(chosen, choose_ejectable("desk", mixed, floor))
+        self.assertGreaterEqual(size - len(chosen), min(size, floor))
+
+
+class AccusingCase(unittest.TestCase):
+    """Helpers that accuse upstreams at one proxy."""
+
+    def make_health(self):
+        kernel = make_kernel()
+        settings = kernel.get(Settings)
+        settings._is_started = True
+        settings.store.tree_hash = b"x"
+        settings.store._stored[BranchName("x")] = None
+        return kernel.get(Health)
+
+    def accuse(self, health, service, upstream):
+        now = health.clock.now()
+        records = [
+            EvidenceRecord(f"127.0.0.{n}:1", 1, 1, zone, upstream.id, Counts(0, 9), now)
+            for n, zone in ((5, "suva"), (6, "lautoka"), (7, "labasa"))
+        ]
+        health._evidence.merge(records)
+        item = health.find_item(service, upstream)
+        health.record(item, Outcome(OutcomeKind.BAD, 5))
+
+
+class ViewsTest(AccusingCase):
+    """Any evidence at any proxies: the union of what is ejected keeps the floor."""
+
+    @given(
+        st.integers(min_value=1, max_value=12),
+        st.integers(min_value=0, max_value=12),
+        st.lists(st.sets(st.integers(min_value=0, max_value=11)), max_size=4),
+    )
+    def test_union_of_ejections_keeps_the_floor(self, size, floor, accused_by_proxy):
+        floor = min(size, floor)
+        service = make_service(size, floor)
+        ejected = set()
+        for accused in accused_by_proxy:
+            ejected |= self.find_ejected(service, accused)
+        self.assertGreaterEqual(size - len(ejected), floor)
+
+    def find_ejected(self, service, accused):
+        health = self.make_health()
+        for number in accused:
+            if number < len(service.upstreams):
+                self.accuse(health, service, service.upstreams[number])
+        return {
+            item.upstream.id
+            for item in health.list_items(service)
+            if item.state is FitState.EJECTED
+        }
+
+
+class RaisedFloorTest(AccusingCase):
+    def test_ejection_ends_when_the_floor_is_raised_over_it(self):
+        health = self.make_health()
+        service = make_service(6, 0)
+        for upstream in service.upstreams:
+            self.accuse(health, service, upstream)
+        raised = make_service(6, 6)
+        for item in health.list_items(raised):
+            health._policy.review(item, health.clock.now())
+        states = {item.state for item in health.list_items(raised)}
+        self.assertNotIn(FitState.EJECTED, states)
+
+    def test_raised_floor_holds_without_fresh_evidence(self):
+        health = self.make_health()
+        service = make_service(6, 0)
+        for upstream in service.upstreams:
+            self.accuse(health, service, upstream)
+        health.clock.advance(60_000)
+        raised = make_service(6, 6)
+        items = health.list_items(raised)
+        for item in items:
+            item.hold_until = health.clock.now() + 60_000
+            health._policy.review(item, health.clock.now())
+        self.assertNotIn(FitState.EJECTED, {item.state for item in items})
+
+
+class SettlingTest(unittest.TestCase):
+    def test_change_of_the_pool_ejects_only_members_of_both_sets_at_first(self):
+        clock = ManualClock(100_000)
+        guard = FloorGuard(clock)
+        old, new = make_service(10, 6), make_service(14, 6)
+        before = guard.list_ejectable(old, frozenset())
+        during = guard.list_ejectable(new, frozenset())
+        self.assertLessEqual(during, before)
+        clock.advance(10_000)
+        self.assertEqual(len(guard.list_ejectable(new, frozenset())), 8)
+
+    def test_leaving_upstreams_count_against_the_floor(self):
+        guard = FloorGuard(ManualClock(100_000))
+        service = make_service(10, 6)
+        leaving = frozenset(item.address for item in service.upstreams[:3])
+        self.assertEqual(len(guard.list_ejectable(service, leaving)), 1)
