--- a/damaskdyke/management/commands/proxy.py
+++ b/damaskdyke/management/commands/proxy.py
@@ -1,6 +1,7 @@
 """Run a proxy."""
 
 import signal
+import sys
 import threading
 from argparse import ArgumentParser, Namespace
 from pathlib import Path
@@ -14,6 +15,8 @@
 
 # Requests hold little on the stack; many threads must fit a small VM.
 STACK_BYTES = 512 * 1024
+# Threads that wait for sockets must not queue for long behind one that computes.
+SWITCH_SECONDS = 0.0005
 
 
 class Command(BaseCommand):
@@ -30,6 +33,7 @@
         settings = self.load(options.settings)
         configure_logging(settings.log.format, settings.log.level)
         threading.stack_size(STACK_BYTES)
+        sys.setswitchinterval(SWITCH_SECONDS)
         stop = threading.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: stop.set())
--- /dev/null
+++ b/damaskdyke/testbed/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds, as ratios within one run."""
--- /dev/null
+++ b/damaskdyke/testbed/bench/cost.py
@@ -0,0 +1,89 @@
+"""Added latency of a proxy against direct calls, in one run."""
+
+import random
+
+from damaskdyke.testbed.bench.scenarios import Plot, Result, Series, scenarios
+from damaskdyke.testbed.fleet import Fleet, FleetPlan
+from damaskdyke.testbed.load import (
+    Call,
+    OpenLoad,
+    Phase,
+    Sample,
+    find_percentile,
+    plan_arrivals,
+)
+
+PROXIES = 3
+RATE_PER_PROXY = 67
+DIRECT_RATE = 67
+SECONDS = 20
+SEED = 11
+WORK_MS = 5
+SIZES = {"1KB": 1_000, "100KB": 100_000}
+PERCENTILES = (50, 90, 95, 99)
+ADDED_P99_MS = 1.8
+
+
+def run_load(fleet: Fleet, size: int) -> list[Sample]:
+    """Send direct and proxied calls mixed at random."""
+    dice = random.Random(SEED)
+    rate = PROXIES * RATE_PER_PROXY + DIRECT_RATE
+
+    def make_call(number: int) -> Call:
+        path = f"/crew-desk/pumps/{number}?ms={WORK_MS}&size={size}"
+        if dice.random() * rate < DIRECT_RATE:
+            upstream = dice.choice(fleet.upstreams)
+            return Call("direct", upstream.address, "GET", path)
+        proxy = dice.choice(fleet.proxies)
+        return Call("proxied", proxy.address, "GET", path)
+
+    load = OpenLoad(make_call, workers=32)
+    return load.run(plan_arrivals([Phase(2, rate), Phase(SECONDS, rate)], SEED))
+
+
+def list_durations(samples: list[Sample], kind: str) -> list[float]:
+    """Return the durations of one kind of call, the first two seconds left out."""
+    return [
+        item.duration
+        for item in samples
+        if item.call.kind == kind and item.is_good and item.planned_at > 2
+    ]
+
+
+@scenarios.register("cost")
+def measure_cost() -> Result:
+    """Measure the latency that a proxy adds."""
+    result = Result("cost")
+    plot = Plot("Latency, 1 KB replies", "percentile", "ms")
+    with Fleet(FleetPlan(proxies=PROXIES, upstreams=6)) as fleet:
+        for label, size in SIZES.items():
+            samples = run_load(fleet, size)
+            failed = sum(1 for item in samples if not item.is_good)
+            result.bound(f"{label} failed requests", failed, 0)
+            for percent in PERCENTILES:
+                direct, proxied = (
+                    find_percentile(list_durations(samples, kind), percent)
+                    for kind in ("direct", "proxied")
+                )
+                result.note(f"{label} direct p{percent} ms", direct)
+                result.note(f"{label} proxied p{percent} ms", proxied)
+                added = proxied - direct
+                if label == "1KB" and percent == 99:
+                    result.bound("1KB added p99 ms", added, ADDED_P99_MS)
+                else:
+                    result.note(f"{label} added p{percent} ms", added)
+            if label == "1KB":
+                plot.series = [
+                    make_series(kind, list_durations(samples, kind))
+                    for kind in ("direct", "proxied")
+                ]
+    result.plots.append(plot)
+    return result
+
+
+def make_series(label: str, durations: list[float]) -> Series:
+    """Return the curve of percentiles."""
+    percents = [float(percent) for percent in range(1, 100)]
+    return Series(
+        label, percents, [find_percentile(durations, percent) for percent in percents]
+    )
--- /dev/null
+++ b/damaskdyke/testbed/bench/events.py
@@ -0,0 +1,58 @@
+"""Reads state changes of upstreams from the logs of proxies."""
+
+import calendar
+import re
+import time
+from dataclasses import dataclass
+
+from damaskdyke.testbed.fleet import Fleet, StoodProxy
+
+PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
+MILLIS = 1000
+
+
+@dataclass(frozen=True)
+class StateChange:
+    """One state change of an upstream at one proxy."""
+
+    proxy: str
+    at: float
+    upstream: str
+    after: str
+    reason: str
+
+
+def read_moment(text: str) -> float:
+    """Return the seconds since the epoch of a log line's moment."""
+    whole, _, millis = text.rstrip("Z").partition(".")
+    seconds = calendar.timegm(time.strptime(whole, "%Y-%m-%dT%H:%M:%S"))
+    return seconds + int(millis or 0) / MILLIS
+
+
+def read_changes(proxy: StoodProxy) -> list[StateChange]:
+    """Return the state changes in one proxy's log."""
+    changes = []
+    for line in proxy.process.read_log().splitlines():
+        if "event=upstream-state" not in line:
+            continue
+        values = dict(PAIR.findall(line))
+        changes.append(
+            StateChange(
+                proxy.address,
+                read_moment(values["at"]),
+                values["upstream"],
+                values["after"],
+                values["reason"],
+            )
+        )
+    return changes
+
+
+def read_all_changes(fleet: Fleet, since: float) -> list[StateChange]:
+    """Return the changes at every proxy since a moment."""
+    return [
+        change
+        for proxy in fleet.proxies
+        for change in read_changes(proxy)
+        if change.at >= since
+    ]
--- /dev/null
+++ b/damaskdyke/testbed/load.py
@@ -0,0 +1,182 @@
+"""Open-loop load: arrivals follow a schedule, whatever the replies do."""
+
+import queue
+import random
+import threading
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import urllib3
+from hdrh.histogram import HdrHistogram
+
+MAX_MICROS = 120_000_000
+DIGITS = 3
+MICROS = 1_000_000
+DEFAULT_TIMEOUT_SECONDS = 30.0
+
+
+@dataclass(frozen=True)
+class Phase:
+    """A part of a schedule with one rate."""
+
+    seconds: float
+    rate: float
+
+
+@dataclass(frozen=True)
+class Call:
+    """One request of a schedule."""
+
+    kind: str
+    address: str
+    method: str
+    path: str
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True)
+class Sample:
+    """What became of one call; times in seconds since the start of the load.
+
+    Waiting for a free worker counts as part of the duration.
+    """
+
+    call: Call
+    planned_at: float
+    duration: float
+    status: int
+    outcome: str
+    upstream: str
+
+    @property
+    def is_good(self) -> bool:
+        """Return whether a whole successful reply came."""
+        return 200 <= self.status < 300
+
+
+@dataclass
+class Recorder:
+    """Samples of a load, safe for many threads."""
+
+    samples: list[Sample] = field(default_factory=list)
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def add(self, sample: Sample) -> None:
+        """Take in a sample."""
+        with self._lock:
+            self.samples.append(sample)
+
+
+def plan_arrivals(phases: Iterable[Phase], seed: int) -> list[float]:
+    """Return the moments of a Poisson process with the rates of the phases."""
+    dice = random.Random(seed)
+    moments = []
+    start = 0.0
+    for phase in phases:
+        moment = start
+        end = start + phase.seconds
+        while phase.rate > 0:
+            moment += dice.expovariate(phase.rate)
+            if moment >= end:
+                break
+            moments.append(moment)
+        start = end
+    return moments
+
+
+class OpenLoad:
+    """Sends planned calls from a pool of worker threads.
+
+    Parameters
+    ----------
+    make_call : callable
+        Returns the call for the number of an arrival.
+    workers : int
+        Most calls in flight at a time.
+    timeout : float
+        Limit for each call in seconds.
+    """
+
+    def __init__(
+        self,
+        make_call: Callable[[int], Call],
+        workers: int = 128,
+        timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    ):
+        self._make_call = make_call
+        self._workers = workers
+        self._timeout = timeout
+        self._http = urllib3.PoolManager(
+            num_pools=100, maxsize=workers, retries=False, block=False
+        )
+        self._planned: queue.SimpleQueue = queue.SimpleQueue()
+        self.recorder = Recorder()
+        self.started_at = 0.0
+
+    def run(self, arrivals: list[float]) -> list[Sample]:
+        """Send every call at its moment and return the samples."""
+        threads = [
+            threading.Thread(target=self._work, daemon=True)
+            for _ in range(self._workers)
+        ]
+        for thread in threads:
+            thread.start()
+        self.started_at = time.perf_counter()
+        for number, moment in enumerate(arrivals):
+            delay = self.started_at + moment - time.perf_counter()
+            if delay > 0:
+                time.sleep(delay)
+            self._planned.put((number, moment))
+        for _ in threads:
+            self._planned.put(None)
+        for thread in threads:
+            thread.join()
+        return self.recorder.samples
+
+    def _work(self) -> None:
+        while (item := self._planned.get()) is not None:
+            number, moment = item
+            self.recorder.add(self._send(self._make_call(number), moment))
+
+    def _send(self, call: Call, moment: float) -> Sample:
+        status, outcome, upstream = 0, "", ""
+        try:
+            response = self._http.request(
+                call.method,
+                f"http://{call.address}{call.path}",
+                body=call.body or None,
+                headers=dict(call.headers),
+                timeout=self._timeout,
+            )
+            status = response.status
+            outcome = response.headers.get("Order-Outcome", "")
+            upstream = find_upstream(response.data)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            outcome = type(error).__name__
+        duration = time.perf_counter() - self.started_at - moment
+        return Sample(call, moment, duration, status, outcome, upstream)
+
+
+def find_upstream(body: bytes) -> str:
+    """Return the name of the stand-in that wrote a reply, if it says so."""
+    mark = b'"upstream": "'
+    start = body.find(mark)
+    if start < 0:
+        return ""
+    start += len(mark)
+    return body[start : body.find(b'"', start)].decode()
+
+
+def make_histogram(durations: Iterable[float]) -> HdrHistogram:
+    """Return the histogram of durations given in seconds, in microseconds."""
+    histogram = HdrHistogram(1, MAX_MICROS, DIGITS)
+    for duration in durations:
+        histogram.record_value(min(MAX_MICROS, max(1, int(duration * MICROS))))
+    return histogram
+
+
+def find_percentile(durations: Iterable[float], percent: float) -> float:
+    """Return a percentile of durations in milliseconds."""
+    return make_histogram(durations).get_value_at_percentile(percent) / 1000
