--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 $(STAMP): requirements.txt requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(BIN)/python -m pip install --quiet --quiet --disable-pip-version-check -r requirements-dev.txt
 	touch $(STAMP)
 
 demo: $(STAMP)
--- a/damaskdyke/distribution/store.py
+++ b/damaskdyke/distribution/store.py
@@ -25,6 +25,9 @@
     IGNORED_DAMAGED = "ignored-damaged"
 
 
+CHANGING_OFFERS = (Offer.ACCEPTED, Offer.REFUSED_BAD)
+
+
 @dataclass(frozen=True)
 class StoredBranch:
     """One branch as the store holds it.
@@ -62,15 +65,24 @@
 
     def offer(self, document: Document) -> Offer:
         """Take in a document if it is newer than the one held."""
+        return self.offer_all([document])[0]
+
+    def offer_all(self, documents: list[Document]) -> list[Offer]:
+        """Take in several documents and rebuild the view once."""
+        with self._lock:
+            results = [self._take(document) for document in documents]
+            if any(result in CHANGING_OFFERS for result in results):
+                self._rebuild()
+        return results
+
+    def _take(self, document: Document) -> Offer:
         if not document.is_intact():
             return Offer.IGNORED_DAMAGED
-        with self._lock:
-            known = self._stored.get(document.version.name)
-            if known and document.version.number <= known.newest.version.number:
-                return Offer.IGNORED_OLD
-            stored = self._judge(document, known)
-            self._stored[document.version.name] = stored
-            self._rebuild()
+        known = self._stored.get(document.version.name)
+        if known and document.version.number <= known.newest.version.number:
+            return Offer.IGNORED_OLD
+        stored = self._judge(document, known)
+        self._stored[document.version.name] = stored
         self._log(stored)
         return Offer.REFUSED_BAD if stored.error else Offer.ACCEPTED
 
--- a/damaskdyke/front/reports.py
+++ b/damaskdyke/front/reports.py
@@ -51,6 +51,8 @@
             "in_flight": self._lifecycle.count_in_flight(),
             "tree": self._settings.store.tree_hash.hex(),
             "platform_reads": self._settings.platform_reads,
+            "peer_bytes_sent": self._membership.pool.traffic.sent,
+            "peer_bytes_received": self._membership.pool.traffic.received,
             "tickets": self._orders.ledger.count(),
             "members": self._describe_members(),
             "branches": self._describe_branches(),
--- a/damaskdyke/membership/ring.py
+++ b/damaskdyke/membership/ring.py
@@ -6,6 +6,9 @@
 from damaskdyke.membership.table import MemberRecord
 from damaskdyke.utils.randomness import hash_score
 
+# Members looked at for each one wanted, in search of different zones.
+WALK_FACTOR = 16
+
 
 class Ring:
     """Members in the order of their hashes.
@@ -26,9 +29,10 @@
 
         The first of them is the key's single place of decision.
         """
-        size = len(self._members)
         start = bisect.bisect(self._hashes, hash_score(key))
-        walk = [self._members[(start + step) % size] for step in range(size)]
+        size = len(self._members)
+        steps = min(size, WALK_FACTOR * count)
+        walk = [self._members[(start + step) % size] for step in range(steps)]
         chosen = pick_distinct_zones(walk, count)
         spare = [member for member in walk if member not in chosen]
         chosen += spare[: count - len(chosen)]
--- a/damaskdyke/peers/client.py
+++ b/damaskdyke/peers/client.py
@@ -7,12 +7,12 @@
 from typing import TypeVar
 
 from thrift.Thrift import TApplicationException, TException
-from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TTransportException
 
 from damaskdyke.core.errors import ErrorKind, ProxyError
 from damaskdyke.core.ids import Address
 from damaskdyke.peers.gen.peer.Peer import Client
+from damaskdyke.peers.traffic import CountingSocket, Traffic
 from damaskdyke.peers.transport import make_protocol
 
 Reply = TypeVar("Reply")
@@ -49,9 +49,9 @@
 class PeerConnection:
     """One connected client."""
 
-    def __init__(self, address: Address, timeout_ms: int):
+    def __init__(self, address: Address, timeout_ms: int, traffic: Traffic):
         host, port = address.rsplit(":", 1)
-        self.socket = TSocket(host, int(port))
+        self.socket = CountingSocket(traffic, host, int(port))
         self.socket.setTimeout(timeout_ms)
         self.protocol = make_protocol(self.socket)
         self.client = Client(self.protocol)
@@ -67,13 +67,14 @@
 
 
 class PeerPool:
-    """Idle connections to every peer.
+    """Idle connections to every peer, and the count of bytes to and from peers.
 
     A connection on which a call failed is closed and never used again, so a late
     reply cannot be taken for the answer to another call.
     """
 
     def __init__(self):
+        self.traffic = Traffic()
         self._lock = threading.Lock()
         self._idle: dict[Address, list[PeerConnection]] = defaultdict(list)
 
@@ -131,7 +132,7 @@
 
     def _connect(self, address: Address, timeout_ms: int) -> PeerConnection:
         try:
-            return PeerConnection(address, max(1, timeout_ms))
+            return PeerConnection(address, max(1, timeout_ms), self.traffic)
         except (TTransportException, OSError, ValueError) as error:
             raise PeerCallError(address, CallStage.NOT_SENT, str(error)) from error
 
--- a/damaskdyke/peers/component.py
+++ b/damaskdyke/peers/component.py
@@ -82,7 +82,8 @@
     def __init__(self, kernel: Kernel):
         super().__init__(kernel)
         address = kernel.settings.peer_listen or kernel.settings.peer_address
-        self._server = PeerServer(kernel, address, PeerHandler(kernel))
+        traffic = kernel.get(Membership).pool.traffic
+        self._server = PeerServer(kernel, address, PeerHandler(kernel), traffic)
 
     def start(self) -> None:
         """Listen."""
--- a/damaskdyke/peers/server.py
+++ b/damaskdyke/peers/server.py
@@ -5,11 +5,11 @@
 import threading
 
 from thrift.Thrift import TException
-from thrift.transport.TSocket import TSocket
 
 from damaskdyke.core.ids import Address
 from damaskdyke.core.kernel import Kernel
 from damaskdyke.peers.gen.peer.Peer import Iface, Processor
+from damaskdyke.peers.traffic import CountingSocket, Traffic
 from damaskdyke.peers.transport import make_protocol
 from damaskdyke.utils.logs import log_event
 
@@ -34,9 +34,14 @@
         Where to listen.
     handler : Iface
         Object that carries out the calls.
+    traffic : Traffic
+        Where to count bytes.
     """
 
-    def __init__(self, kernel: Kernel, address: Address, handler: Iface):
+    def __init__(
+        self, kernel: Kernel, address: Address, handler: Iface, traffic: Traffic
+    ):
+        self._traffic = traffic
         self._kernel = kernel
         self._address = address
         self._processor = Processor(handler)
@@ -78,7 +83,7 @@
 
     def _serve(self, connection: socket.socket, remote: str) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        transport = TSocket()
+        transport = CountingSocket(self._traffic)
         transport.setHandle(connection)
         transport.setTimeout(IDLE_LIMIT_MS)
         protocol = make_protocol(transport)
--- /dev/null
+++ b/damaskdyke/testbed/bench/crest.py
@@ -0,0 +1,170 @@
+"""Service at the crest of a demand swing, product beside a baseline."""
+
+import json
+import random
+from dataclasses import dataclass
+
+from damaskdyke.testbed.bench.scenarios import Plot, Result, Series, scenarios
+from damaskdyke.testbed.fleet import Fleet, FleetPlan
+from damaskdyke.testbed.load import (
+    Call,
+    OpenLoad,
+    Phase,
+    Sample,
+    find_percentile,
+    plan_arrivals,
+)
+from damaskdyke.testbed.plans import ServicePlan
+
+PROXIES = 4
+UPSTREAMS = 8
+SLOTS = 4
+WORK_MS = 200
+CAPACITY = UPSTREAMS * SLOTS * 1000 / WORK_MS
+BASE_RATE = 30
+CREST_RATE = 300
+DEADLINE_MS = 1_500
+ORDER_SHARE = 0.05
+SEED = 31
+BEFORE = Phase(8, BASE_RATE)
+RISE = Phase(2, (BASE_RATE + CREST_RATE) / 2)
+CREST = Phase(10, CREST_RATE)
+AFTER = Phase(10, BASE_RATE)
+CREST_START = BEFORE.seconds + RISE.seconds
+CREST_END = CREST_START + CREST.seconds
+SETTLE_SECONDS = 2.0
+THREADS = "threads = 200\n"
+BASELINE = (
+    '[policies]\nbalancing = "random"\nadmission = "fifo"\nejection = "none"\n'
+    'hedging = "none"\n'
+)
+AFTER_LIMIT = 1.5
+
+
+@dataclass(frozen=True)
+class CrestRun:
+    """Samples of one run and what the upstreams counted."""
+
+    samples: list[Sample]
+    arrivals: int
+    most_running: int
+
+
+def run_crest(settings: str) -> CrestRun:
+    """Run one fleet through the swing."""
+    service = ServicePlan(
+        floor=4, slots=SLOTS, deadline_ms=DEADLINE_MS, order_deadline_ms=DEADLINE_MS
+    )
+    plan = FleetPlan(
+        proxies=PROXIES,
+        upstreams=UPSTREAMS,
+        services=[service],
+        proxy_settings=THREADS + '[log]\nlevel = "error"\n' + settings,
+    )
+    dice = random.Random(SEED)
+    with Fleet(plan) as fleet:
+        before = count_arrivals(fleet)
+
+        def make_call(number: int) -> Call:
+            proxy = dice.choice(fleet.proxies)
+            if dice.random() < ORDER_SHARE:
+                body = json.dumps({"order": f"crest-{number}"}).encode()
+                headers = (("Idempotency-Key", proxy.take_ticket()),)
+                path = f"/crew-desk/callouts?ms={WORK_MS}"
+                return Call("order", proxy.address, "POST", path, body, headers)
+            path = f"/crew-desk/pumps/{number}?ms={WORK_MS}"
+            return Call("lookup", proxy.address, "GET", path)
+
+        load = OpenLoad(make_call, workers=500)
+        samples = load.run(plan_arrivals([BEFORE, RISE, CREST, AFTER], SEED))
+        arrivals = count_arrivals(fleet) - before
+        running = max(item.read_stats()["most_running"] for item in fleet.upstreams)
+    return CrestRun(samples, arrivals, running)
+
+
+def count_arrivals(fleet: Fleet) -> int:
+    """Return the requests that the upstreams have taken or shed."""
+    stats = [item.read_stats() for item in fleet.upstreams]
+    return sum(item["served"] + item["shed"] for item in stats)
+
+
+def list_crest(samples: list[Sample]) -> list[Sample]:
+    """Return the samples of the crest."""
+    return [item for item in samples if CREST_START <= item.planned_at < CREST_END]
+
+
+def is_in_time(sample: Sample) -> bool:
+    """Return whether a good reply came within the deadline."""
+    return sample.is_good and sample.duration * 1000 <= DEADLINE_MS
+
+
+def find_goodput(samples: list[Sample]) -> float:
+    """Return the work done in time at the crest, as a share of capacity."""
+    done = sum(1 for item in list_crest(samples) if is_in_time(item))
+    return done / (CAPACITY * CREST.seconds)
+
+
+def find_share(samples: list[Sample], kind: str) -> float:
+    """Return the share of one kind of call that was done in time at the crest."""
+    chosen = [item for item in list_crest(samples) if item.call.kind == kind]
+    return sum(1 for item in chosen if is_in_time(item)) / max(1, len(chosen))
+
+
+def find_after(samples: list[Sample]) -> float:
+    """Return the median latency after the crest over that before it."""
+    before = [item.duration for item in samples if 2 < item.planned_at < BEFORE.seconds]
+    start = CREST_END + SETTLE_SECONDS
+    after = [item.duration for item in samples if item.planned_at > start]
+    return find_percentile(after, 50) / find_percentile(before, 50)
+
+
+def note_run(result: Result, label: str, run: CrestRun) -> None:
+    """Record the figures of one run."""
+    result.note(f"{label} goodput share", find_goodput(run.samples))
+    for kind in ("order", "lookup"):
+        result.note(f"{label} {kind}s in time", find_share(run.samples, kind))
+    result.note(f"{label} median after / before", find_after(run.samples))
+
+
+def make_curve(label: str, samples: list[Sample]) -> Series:
+    """Return the good replies of each second."""
+    total = int(CREST_END + AFTER.seconds)
+    counts = [0] * total
+    for item in samples:
+        if is_in_time(item) and item.planned_at < total:
+            counts[int(item.planned_at)] += 1
+    return Series(label, [float(second) for second in range(total)], counts)
+
+
+@scenarios.register("crest")
+def measure_crest() -> Result:
+    """Measure a swing of ten times, above capacity for ten seconds."""
+    result = Result("crest")
+    product = run_crest("")
+    baseline = run_crest(BASELINE)
+    note_run(result, "product", product)
+    note_run(result, "baseline", baseline)
+    result.bound_below("goodput share of capacity", find_goodput(product.samples), 0.9)
+    refused = [
+        item.duration
+        for item in list_crest(product.samples)
+        if item.status in (429, 503)
+    ]
+    result.note("refused at the crest", len(refused))
+    if refused:
+        result.bound("refused within ms, p95", find_percentile(refused, 95), 50)
+    result.bound("median after / before", find_after(product.samples), AFTER_LIMIT)
+    orders, lookups = (
+        find_share(product.samples, kind) for kind in ("order", "lookup")
+    )
+    result.bound_below("orders in time / lookups in time", orders / lookups, 1.0)
+    result.bound("most running at an upstream", product.most_running, SLOTS)
+    answered = sum(1 for item in product.samples if item.is_good)
+    result.bound("upstream requests / answers", product.arrivals / answered, 1.1)
+    plot = Plot("Replies within the deadline", "s", "replies in a second")
+    plot.series = [
+        make_curve("product", product.samples),
+        make_curve("random, FIFO", baseline.samples),
+    ]
+    result.plots.append(plot)
+    return result
--- /dev/null
+++ b/damaskdyke/testbed/bench/slopes.py
@@ -0,0 +1,145 @@
+"""Slopes for docs/CAPACITY.md: state and work of one process by size."""
+
+import gc
+import hashlib
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from damaskdyke.conf.daemon import OrderSettings
+from damaskdyke.core.clock import Clock
+from damaskdyke.core.ids import Address, BootId, BranchName, ZoneName
+from damaskdyke.distribution.documents import Document, Version
+from damaskdyke.distribution.store import Store
+from damaskdyke.distribution.view import View
+from damaskdyke.membership.ring import Ring
+from damaskdyke.membership.table import MemberRecord, MemberState, MemberTable
+from damaskdyke.orders.ledger import Ledger
+from damaskdyke.testbed.bench.scenarios import Result, scenarios
+from damaskdyke.testbed.plans import ServicePlan, UpstreamPlan
+
+SERVICE_SIZES = (2, 100, 400, 1_600)
+UPSTREAMS_PER_SERVICE = 18
+ROUTES_PER_SERVICE = 11
+WORKSPACES_PER_SERVICE = 106
+MEMBER_SIZES = (40, 400, 2_700)
+TICKETS = 4_000
+MEGABYTE = 1e6
+
+
+def measure(build: Callable[[], object]) -> tuple[object, float, float]:
+    """Return what a function built, the bytes it holds and the seconds it took."""
+    gc.collect()
+    tracemalloc.start()
+    built = build()
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started = time.process_time()
+    build()
+    return built, held, time.process_time() - started
+
+
+def make_branch(number: int) -> bytes:
+    """Return a branch of the target's average size."""
+    plan = ServicePlan(name=f"service-{number}", floor=9)
+    for index in range(UPSTREAMS_PER_SERVICE):
+        address = f"10.{number // 250}.{number % 250}.{index + 1}:8080"
+        plan.upstreams.append(UpstreamPlan(f"up-{number}-{index}", address, "suva"))
+    lines = [plan.to_toml()]
+    for index in range(ROUTES_PER_SERVICE - 1):
+        prefix = f"/service-{number}/part-{index}/"
+        lines.append(f'[[routes]]\nprefix = "{prefix}"\nservice = "{plan.name}"')
+    names = [f'"ws-{number}-{index}"' for index in range(WORKSPACES_PER_SERVICE)]
+    head = f"workspaces = [{', '.join(names)}]\nworkspace_in_flight = 50\n"
+    return (head + "\n".join(lines)).encode()
+
+
+def make_document(number: int) -> Document:
+    """Return the document of one branch."""
+    text = make_branch(number)
+    digest = hashlib.sha256(text).digest()
+    return Document(Version(BranchName(f"team-{number}"), 1, digest), text)
+
+
+def fill_store(documents: list[Document]) -> Store:
+    """Return a store that holds the documents."""
+    store = Store()
+    store.offer_all(documents)
+    return store
+
+
+def note_settings(result: Result) -> None:
+    """Measure the settings tree by the number of services."""
+    for size in SERVICE_SIZES:
+        documents = [make_document(number) for number in range(size)]
+        store, held, seconds = measure(lambda items=documents: fill_store(items))
+        text = sum(len(document.text) for document in documents)
+        result.note(f"{size} services: text MB", text / MEGABYTE)
+        result.note(f"{size} services: settings MB", (held + text) / MEGABYTE)
+        result.note(f"{size} services: parse at start s", seconds)
+        started = time.process_time()
+        View(store.view.branches)
+        rebuild = (time.process_time() - started) * 1000
+        result.note(f"{size} services: whole view again ms", rebuild)
+        started = time.process_time()
+        newer = documents[0]
+        version = Version(newer.version.name, 2, newer.version.digest)
+        store.offer(Document(version, newer.text))
+        change = (time.process_time() - started) * 1000
+        result.note(f"{size} services: one change ms", change)
+
+
+def make_record(number: int) -> MemberRecord:
+    """Return a member."""
+    address = Address(f"10.{number // 250}.{number % 250}.1:9090")
+    zone = ZoneName(f"zone-{number % 23}")
+    return MemberRecord(address, BootId(number + 1), zone, MemberState.ALIVE, 1)
+
+
+def note_members(result: Result) -> None:
+    """Measure the member table and the ring by the number of members."""
+    for size in MEMBER_SIZES:
+
+        def build(size: int = size) -> MemberTable:
+            records = [make_record(number) for number in range(size)]
+            table = MemberTable(records[0], Clock())
+            table.merge(records[1:])
+            return table
+
+        table, held, _ = measure(build)
+        result.note(f"{size} members: table KB", held / 1000)
+        started = time.process_time()
+        ring = Ring(table.list_alive())
+        result.note(
+            f"{size} members: ring again ms", (time.process_time() - started) * 1000
+        )
+        started = time.process_time()
+        for number in range(100):
+            ring.find_successors(f"up-{number}", 3)
+        each = (time.process_time() - started) * 10_000
+        result.note(f"{size} members: watchers of an upstream us", each)
+
+
+def note_ledger(result: Result) -> None:
+    """Measure the ledger at the target's number of outstanding tickets."""
+
+    def build() -> Ledger:
+        ledger = Ledger(Address("10.0.0.1:9"), BootId(1), OrderSettings(), Clock())
+        for _ in range(TICKETS):
+            ledger.issue()
+        return ledger
+
+    _, held, seconds = measure(build)
+    result.note(f"{TICKETS} tickets: ledger KB", held / 1000)
+    result.note("one ticket us", seconds / TICKETS * 1e6)
+
+
+@scenarios.register("slopes")
+def measure_slopes() -> Result:
+    """Measure state and processor time by size, in this process."""
+    result = Result("slopes")
+    note_settings(result)
+    note_members(result)
+    note_ledger(result)
+    return result
--- /dev/null
+++ b/damaskdyke/testbed/bench/usage.py
@@ -0,0 +1,40 @@
+"""Processor time, memory and peer traffic of a process."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+from damaskdyke.testbed.fleet import StoodProxy
+
+TICKS = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+USER_TIME = 11
+SYSTEM_TIME = 12
+
+
+@dataclass(frozen=True)
+class Usage:
+    """What a process has used so far: seconds, and bytes."""
+
+    processor: float
+    memory: int
+    peer_bytes: int
+
+
+def read_processor(pid: int) -> float:
+    """Return the processor seconds of a process."""
+    text = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(text[USER_TIME]) + int(text[SYSTEM_TIME])) / TICKS
+
+
+def read_memory(pid: int) -> int:
+    """Return the resident bytes of a process."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
+
+
+def read_usage(proxy: StoodProxy) -> Usage:
+    """Return what a proxy has used so far."""
+    status = proxy.read_status()
+    traffic = status["peer_bytes_sent"] + status["peer_bytes_received"]
+    pid = proxy.process.pid
+    return Usage(read_processor(pid), read_memory(pid), traffic)
--- a/damaskdyke/testbed/upstream.py
+++ b/damaskdyke/testbed/upstream.py
@@ -63,6 +63,10 @@
         Close each connection after its request.
     no_echo : bool
         Leave the id of the request out of the reply.
+    straggler_share : float
+        Share of requests that take ``straggler_ms`` longer.
+    straggler_ms : int
+        Time added to a straggler.
     """
 
     slow_factor: float = 1.0
@@ -78,6 +82,8 @@
     only_from: str = ""
     draining: bool = False
     no_echo: bool = False
+    straggler_share: float = 0.0
+    straggler_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -253,6 +259,8 @@
             duration = float(values.get("ms", [DEFAULT_WORK_MS])[0])
             if state.clock.now() - state.started_at < state.limits.cold_ms:
                 duration *= COLD_START_FACTOR
+            if random.random() < faults.straggler_share:
+                duration += faults.straggler_ms
             return duration * faults.slow_factor + faults.extra_ms
 
         def _reply(
--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,54 @@
+"""Builds the one file that is shipped: a zip application of pure Python code."""
+
+import shutil
+import subprocess
+import sys
+import tempfile
+import zipapp
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+TARGET = ROOT / "build" / "damaskdyke"
+INTERPRETER = "/usr/bin/env python3"
+ENTRY = "damaskdyke.core.management.runner:main"
+COMPILED = ("*.so", "*.pyd", "*.pyc")
+
+
+def install_libraries(directory: Path) -> None:
+    """Install the pinned libraries into a directory."""
+    subprocess.run(
+        [
+            *(sys.executable, "-m", "pip", "install", "--quiet", "--quiet"),
+            *("--disable-pip-version-check", "--no-compile"),
+            *("--target", str(directory), "-r", str(ROOT / "requirements.txt")),
+        ],
+        check=True,
+    )
+
+
+def remove_compiled(directory: Path) -> None:
+    """Remove compiled modules, which cannot be imported from a zip file."""
+    for pattern in COMPILED:
+        for path in directory.rglob(pattern):
+            path.unlink()
+    shutil.rmtree(directory / "bin", ignore_errors=True)
+
+
+def main() -> None:
+    """Build the file."""
+    TARGET.parent.mkdir(exist_ok=True)
+    with tempfile.TemporaryDirectory() as name:
+        directory = Path(name)
+        install_libraries(directory)
+        remove_compiled(directory)
+        ignored = shutil.ignore_patterns("__pycache__")
+        package = directory / "damaskdyke"
+        shutil.copytree(ROOT / "damaskdyke", package, ignore=ignored)
+        zipapp.create_archive(
+            directory, TARGET, INTERPRETER, main=ENTRY, compressed=True
+        )
+    print(f"{TARGET.relative_to(ROOT)}: {TARGET.stat().st_size} bytes")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/write_errors.py
@@ -0,0 +1,37 @@
+"""Writes docs/ERRORS.md from the closed list of error kinds."""
+
+from pathlib import Path
+
+from damaskdyke.core.errors import ANSWERS, Repeat
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "ERRORS.md"
+
+REPEAT_TEXT = {
+    Repeat.SAFE: "yes; an order was not touched by this answer",
+    Repeat.SAME_TICKET: "yes, with the same ticket",
+    Repeat.NEW_TICKET: "yes, as a new order with a new ticket",
+    Repeat.NO: "no",
+}
+
+HEAD = """# Errors
+
+Each error answer is JSON with `code`, `detail`, `repeat` and `request`; the headers
+`Error-Code` and `Error-Repeat` say the same. Written by `tools/write_errors.py`.
+
+| code | status | meaning | repeat |
+| --- | --- | --- | --- |
+"""
+
+
+def make_page() -> str:
+    """Return the page."""
+    rows = [
+        f"| `{kind.value}` | {answer.status} | {answer.meaning} "
+        f"| {REPEAT_TEXT[answer.repeat]} |"
+        for kind, answer in ANSWERS.items()
+    ]
+    return HEAD + "\n".join(rows) + "\n"
+
+
+if __name__ == "__main__":
+    PAGE.write_text(make_page())
