--- a/damaskdyke/conf/daemon.py
+++ b/damaskdyke/conf/daemon.py
@@ -26,7 +26,7 @@
     ticket_lifetime_ms: int = 600_000
     max_entries: int = 50_000
     max_reply_bytes: int = 262_144
-    max_total_reply_bytes: int = 67_108_864
+    max_total_reply_bytes: int = 16_777_216
 
 
 @dataclass(frozen=True)
@@ -108,7 +108,7 @@
     ticket_lifetime_ms = make_count(1_000, 3_600_000)
     max_entries = make_count(1, 1_000_000)
     max_reply_bytes = make_count(0, 32 * 1024 * 1024)
-    max_total_reply_bytes = make_count(0, 256 * 1024 * 1024)
+    max_total_reply_bytes = make_count(0, 24 * 1024 * 1024)
 
     @post_load
     def build(self, data: dict, **_: Any) -> OrderSettings:
