--- a/damaskdyke/testbed/bench/crest.py
+++ b/damaskdyke/testbed/bench/crest.py
@@ -67,6 +67,7 @@
     with Fleet(plan) as fleet:
         arrivals_planned = plan_arrivals([BEFORE, RISE, CREST, AFTER], SEED)
         tickets = take_tickets(fleet, len(arrivals_planned))
+
         def make_call(number: int) -> Call:
             proxy = dice.choice(fleet.proxies)
             if number in tickets:
@@ -96,7 +97,8 @@
 
 def count_attempts(fleet: Fleet, kind: str) -> float:
     """Return the attempts of one kind that all proxies have counted."""
-X
+    line = rf'^damaskdyke_attempts_total\{{kind="{kind}".*\}} (\S+)$'
+    pattern = re.compile(line, re.M)
     total = 0.0
     for proxy in fleet.proxies:
         text = proxy.call("GET", "/-/metrics").body.decode()
