--- a/damaskdyke/front/lifecycle.py
+++ b/damaskdyke/front/lifecycle.py
@@ -80,12 +80,12 @@
         anything else changes.
         """
         self._is_draining = True
-        self._orders.stop_issuing()
+        self._orders.succession.stop_issuing()
         log_event(logger, "drain", step="notice", in_flight=self.count_in_flight())
         self._wait_for_notice()
         self._wait_until_idle()
         log_event(logger, "drain", step="hand-over", in_flight=self.count_in_flight())
-        self._orders.hand_over_all()
+        self._orders.succession.hand_over_all()
         self._membership.leave()
         self._wait_until_idle()
         log_event(logger, "drain", step="done", in_flight=self.count_in_flight())
@@ -96,6 +96,6 @@
     def _wait_until_idle(self) -> None:
         deadline = Deadline(self.kernel.clock, self._timing.drain_limit_ms)
         while not deadline.is_past():
-            if not self.count_in_flight() and not self._orders.count_busy():
+            if not self.count_in_flight() and not self._orders.succession.count_busy():
                 return
             self.kernel.clock.sleep(DRAIN_POLL_MS)
--- a/damaskdyke/orders/dispatch.py
+++ b/damaskdyke/orders/dispatch.py
@@ -8,7 +8,8 @@
 from damaskdyke.health.component import Health
 from damaskdyke.health.states import Outcome as SeenOutcome
 from damaskdyke.health.states import OutcomeKind, UpstreamHealth
-from damaskdyke.orders.ledger import EntryState, Ledger
+from damaskdyke.orders.entries import EntryState
+from damaskdyke.orders.ledger import Ledger
 from damaskdyke.orders.messages import OrderResult
 from damaskdyke.placement.component import Placement
 from damaskdyke.routing.balancing import Balancer
--- a/damaskdyke/orders/handover.py
+++ b/damaskdyke/orders/handover.py
@@ -3,7 +3,8 @@
 from damaskdyke.conf.daemon import OrderSettings
 from damaskdyke.core.clock import Clock, Millis
 from damaskdyke.core.ids import Address, BootId
-from damaskdyke.orders.ledger import Entry, EntryState, Ledger
+from damaskdyke.orders.entries import Entry, EntryState
+from damaskdyke.orders.ledger import Ledger
 from damaskdyke.orders.messages import read_headers, to_headers
 from damaskdyke.peers.gen.peer.ttypes import Handover, HandoverEntry
 from damaskdyke.upstreams.messages import Reply
--- a/damaskdyke/orders/ledger.py
+++ b/damaskdyke/orders/ledger.py
@@ -9,46 +9,23 @@
 import secrets
 import threading
 from collections import deque
-from dataclasses import dataclass
-from enum import Enum
 
 from damaskdyke.conf.daemon import OrderSettings
 from damaskdyke.core.clock import Clock, Deadline, Millis
 from damaskdyke.core.errors import ErrorKind, ProxyError
 from damaskdyke.core.ids import Address, BootId
+from damaskdyke.orders.entries import (
+    BUSY_STATES,
+    OPEN_STATES,
+    Entry,
+    EntryState,
+    make_sealed_entry,
+)
 from damaskdyke.orders.messages import OrderResult, Outcome
 from damaskdyke.orders.tickets import SECRET_BYTES, Ticket, make_ticket
 from damaskdyke.upstreams.messages import Reply
 
 
-class EntryState(Enum):
-    """State of one ticket."""
-
-    ISSUED = 1
-    CLAIMED = 2
-    DISPATCHED = 3
-    ANSWERED = 4
-    NOT_RUN = 5
-    UNKNOWN = 6
-
-
-OPEN_STATES = (EntryState.ISSUED, EntryState.CLAIMED)
-BUSY_STATES = (EntryState.CLAIMED, EntryState.DISPATCHED)
-
-
-@dataclass(slots=True)
-class Entry:
-    """One ticket of the ledger."""
-
-    sequence: int
-    expires_at: Millis
-    state: EntryState = EntryState.ISSUED
-    binding: bytes = b""
-    reason: str = ""
-    reply: Reply | None = None
-    is_reply_dropped: bool = False
-
-
 class Ledger:
     """Entries of one incarnation, in memory and bounded.
 
@@ -336,22 +313,3 @@
         """Return how many orders are on their way."""
         with self._changed:
             return sum(1 for item in self._order if item.state in BUSY_STATES)
-
-
-def make_sealed_entry(entry: Entry) -> Entry:
-    """Return the copy of an entry that goes into a hand-over."""
-    state, reason = entry.state, entry.reason
-    if state is EntryState.DISPATCHED:
-        state = EntryState.UNKNOWN
-        reason = "the home stopped before the upstream answered"
-    if state is EntryState.CLAIMED:
-        state = EntryState.ISSUED
-    return Entry(
-        sequence=entry.sequence,
-        expires_at=entry.expires_at,
-        state=state,
-        binding=entry.binding,
-        reason=reason,
-        reply=entry.reply,
-        is_reply_dropped=entry.is_reply_dropped,
-    )
--- a/damaskdyke/peers/component.py
+++ b/damaskdyke/peers/component.py
@@ -60,7 +60,7 @@
 
     def hand_over(self, handover: Handover) -> HandoverReply:
         """Adopt the sealed ledger of a proxy that stops."""
-        return self._orders.answer_hand_over(handover)
+        return self._orders.succession.answer_hand_over(handover)
 
     def ping_through(self, address: str) -> bool:
         """Return whether this proxy reaches another."""
--- a/tests/orders/test_handover.py
+++ b/tests/orders/test_handover.py
@@ -4,8 +4,9 @@
 from damaskdyke.core.clock import Deadline, ManualClock
 from damaskdyke.core.ids import Address, BootId
 from damaskdyke.orders.component import Orders
+from damaskdyke.orders.entries import EntryState
 from damaskdyke.orders.handover import make_handover, read_ledger
-from damaskdyke.orders.ledger import EntryState, Ledger
+from damaskdyke.orders.ledger import Ledger
 from damaskdyke.orders.messages import Outcome
 from damaskdyke.upstreams.messages import Header, Reply
 from tests.kernels import make_kernel
@@ -87,23 +88,25 @@
 
     def test_second_copy_is_answered_like_the_first_and_changes_nothing(self):
         message = self.make_message()
-        self.assertTrue(self.orders.answer_hand_over(message).accepted)
+        self.assertTrue(self.orders.succession.answer_hand_over(message).accepted)
         self.orders.withdraw(self.ticket.text, "r")
         # A refusal here would let the sender try a second successor.
-        self.assertTrue(self.orders.answer_hand_over(message).accepted)
+        self.assertTrue(self.orders.succession.answer_hand_over(message).accepted)
         result = self.orders.look_up(self.ticket.text, "r")
         self.assertIs(result.outcome, Outcome.NOT_RUN)
 
     def test_second_copy_is_accepted_while_draining(self):
         message = self.make_message()
-        self.assertTrue(self.orders.answer_hand_over(message).accepted)
-        self.orders.stop_issuing()
-        self.assertTrue(self.orders.answer_hand_over(message).accepted)
+        self.assertTrue(self.orders.succession.answer_hand_over(message).accepted)
+        self.orders.succession.stop_issuing()
+        self.assertTrue(self.orders.succession.answer_hand_over(message).accepted)
 
     def test_first_copy_is_refused_while_draining(self):
-        self.orders.stop_issuing()
-        self.assertFalse(self.orders.answer_hand_over(self.make_message()).accepted)
+        self.orders.succession.stop_issuing()
+        self.assertFalse(
+            self.orders.succession.answer_hand_over(self.make_message()).accepted
+        )
 
     def test_copy_for_another_incarnation_is_refused(self):
         message = self.make_message(boot=BootId(self.kernel.boot + 1))
-        self.assertFalse(self.orders.answer_hand_over(message).accepted)
+        self.assertFalse(self.orders.succession.answer_hand_over(message).accepted)
--- a/tests/orders/test_ledger.py
+++ b/tests/orders/test_ledger.py
@@ -5,7 +5,8 @@
 from damaskdyke.core.clock import Clock, Deadline, ManualClock
 from damaskdyke.core.errors import ErrorKind, ProxyError
 from damaskdyke.core.ids import Address, BootId
-from damaskdyke.orders.ledger import EntryState, Ledger
+from damaskdyke.orders.entries import EntryState
+from damaskdyke.orders.ledger import Ledger
 from damaskdyke.orders.messages import Outcome
 from damaskdyke.upstreams.messages import Reply
 
