--- a/damaskdyke/distribution/view.py
+++ b/damaskdyke/distribution/view.py
@@ -2,9 +2,18 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import cached_property
 
-from damaskdyke.conf.tree import VM_BRANCH, Branch, Rule, Service, Vm, VmState
-from damaskdyke.core.ids import Address, ServiceName, WorkspaceName
+from damaskdyke.conf.tree import (
+    VM_BRANCH,
+    Branch,
+    Rule,
+    Service,
+    Upstream,
+    Vm,
+    VmState,
+)
+from damaskdyke.core.ids import Address, ServiceName, UpstreamId, WorkspaceName
 
 
 @dataclass(frozen=True)
@@ -15,6 +24,14 @@
     in_flight: int
 
 
+@dataclass(frozen=True, slots=True)
+class ListedUpstream:
+    """An upstream together with its service."""
+
+    service: Service
+    upstream: Upstream
+
+
 class View:
     """Settings of every branch, ready for look-ups.
 
@@ -59,6 +76,18 @@
             end = path.rfind("/", 0, end - 1) + 1
         return None
 
+    @cached_property
+    def _upstreams(self) -> dict[UpstreamId, ListedUpstream]:
+        return {
+            upstream.id: ListedUpstream(service, upstream)
+            for service in self.services.values()
+            for upstream in service.upstreams
+        }
+
+    def find_upstream(self, upstream: UpstreamId) -> ListedUpstream | None:
+        """Return an upstream and its service, if a branch lists it."""
+        return self._upstreams.get(upstream)
+
     def find_workspace(self, name: str) -> Workspace | None:
         """Return the limits of a workspace, if a branch lists it."""
         branch = self._workspaces.get(WorkspaceName(name))
--- a/damaskdyke/health/component.py
+++ b/damaskdyke/health/component.py
@@ -130,10 +130,6 @@
         """Return the records of every upstream of a service."""
         return [self.find_item(service, upstream) for upstream in service.upstreams]
 
-    def find_by_id(self, upstream: UpstreamId) -> UpstreamHealth | None:
-        """Return the record of an upstream of the settings in force."""
-        return self._items.get(upstream)
-
     def list_unfit(self) -> list[UpstreamHealth]:
         """Return the upstreams that are out of ordinary rotation."""
         items = list(self._items.values())
@@ -276,11 +272,7 @@
         self._policy.review(item, now)
 
     def _find_listed(self, upstream: UpstreamId) -> UpstreamHealth | None:
-        item = self._items.get(upstream)
-        if item is not None:
-            return item
-        for service in self._settings.view.services.values():
-            for candidate in service.upstreams:
-                if candidate.id == upstream:
-                    return self.find_item(service, candidate)
-        return None
+        listed = self._settings.view.find_upstream(upstream)
+        if listed is None:
+            return None
+        return self.find_item(listed.service, listed.upstream)
--- a/damaskdyke/health/trials.py
+++ b/damaskdyke/health/trials.py
@@ -66,7 +66,7 @@
 
     def _refresh(self) -> None:
         version = self._membership.table.version
-        if version == self._ring_version and self._watched:
+        if version == self._ring_version:
             return
         self._ring_version = version
         self._ring = Ring(self._membership.table.list_alive())
@@ -79,7 +79,7 @@
         ]
 
     def _forget_watched(self) -> None:
-        self._watched = []
+        self._ring_version = -1
 
     def _is_watcher(self, item: UpstreamHealth) -> bool:
         watchers = self._ring.find_successors(item.upstream.id, WATCHERS)
