--- a/damaskdyke/testbed/bench/detection.py
+++ b/damaskdyke/testbed/bench/detection.py
@@ -8,7 +8,7 @@
 
 from damaskdyke.testbed.bench.events import StateChange, read_all_changes
 from damaskdyke.testbed.bench.scenarios import Plot, Result, Series, scenarios
-from damaskdyke.testbed.fleet import Fleet, FleetPlan, StoodUpstream
+from damaskdyke.testbed.fleet import Fleet, FleetPlan, FleetUpstream
 from damaskdyke.testbed.load import Call, OpenLoad, Phase, plan_arrivals
 from damaskdyke.testbed.plans import ServicePlan
 
@@ -86,7 +86,7 @@
 
 
 def measure_fault(
-    fleet: Fleet, rate: float, faults: dict, victim: StoodUpstream, seed: int
+    fleet: Fleet, rate: float, faults: dict, victim: FleetUpstream, seed: int
 ) -> Detection:
     """Switch a fault on under load and off again, and read the proxies' logs."""
     seconds = WARM_SECONDS + FAULT_SECONDS + RECOVERY_SECONDS
--- a/damaskdyke/testbed/bench/events.py
+++ b/damaskdyke/testbed/bench/events.py
@@ -5,7 +5,7 @@
 import time
 from dataclasses import dataclass
 
-from damaskdyke.testbed.fleet import Fleet, StoodProxy
+from damaskdyke.testbed.fleet import Fleet, FleetProxy
 
 PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
 MILLIS = 1000
@@ -29,7 +29,7 @@
     return seconds + int(millis or 0) / MILLIS
 
 
-def read_changes(proxy: StoodProxy) -> list[StateChange]:
+def read_changes(proxy: FleetProxy) -> list[StateChange]:
     """Return the state changes in one proxy's log."""
     changes = []
     for line in proxy.process.read_log().splitlines():
--- a/damaskdyke/testbed/bench/propagation.py
+++ b/damaskdyke/testbed/bench/propagation.py
@@ -6,7 +6,7 @@
 from damaskdyke.testbed.bench.events import PAIR, read_moment
 from damaskdyke.testbed.bench.scenarios import Plot, Result, Series, scenarios
 from damaskdyke.testbed.bench.usage import read_usage
-from damaskdyke.testbed.fleet import Fleet, FleetPlan, StoodProxy
+from damaskdyke.testbed.fleet import Fleet, FleetPlan, FleetProxy
 
 SIZES = (3, 12, 40)
 CHANGES = 8
@@ -16,7 +16,7 @@
 ACCEPTED = re.compile(r"event=branch-accepted")
 
 
-def find_acceptance(proxy: StoodProxy, version: int) -> float | None:
+def find_acceptance(proxy: FleetProxy, version: int) -> float | None:
     """Return when a proxy accepted a version of the service's branch."""
     for line in proxy.process.read_log().splitlines():
         if not ACCEPTED.search(line):
--- a/damaskdyke/testbed/bench/usage.py
+++ b/damaskdyke/testbed/bench/usage.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from damaskdyke.testbed.fleet import StoodProxy
+from damaskdyke.testbed.fleet import FleetProxy
 
 TICKS = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -32,7 +32,7 @@
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
 
 
-def read_usage(proxy: StoodProxy) -> Usage:
+def read_usage(proxy: FleetProxy) -> Usage:
     """Return what a proxy has used so far."""
     status = proxy.read_status()
     traffic = status["peer_bytes_sent"] + status["peer_bytes_received"]
--- a/damaskdyke/testbed/fleet.py
+++ b/damaskdyke/testbed/fleet.py
@@ -62,7 +62,7 @@
         return json.loads(self.body)
 
 
-class HttpEnd:
+class HttpClient:
     """HTTP calls to one process of the fleet."""
 
     def __init__(self, address: str):
@@ -88,7 +88,7 @@
         return Answer(response.status, response.headers, response.data)
 
 
-class Stood(HttpEnd):
+class FleetProcess(HttpClient):
     """A process of the fleet together with its HTTP end."""
 
     def __init__(self, address: str, process: ChildProcess):
@@ -103,7 +103,7 @@
             return False
 
 
-class StoodUpstream(Stood):
+class FleetUpstream(FleetProcess):
     """An upstream stand-in."""
 
     def __init__(self, plan: UpstreamPlan, service: str, process: ChildProcess):
@@ -124,7 +124,7 @@
         return self.call("GET", "/control/stats").read_json()
 
 
-class StoodProxy(Stood):
+class FleetProxy(FleetProcess):
     """A proxy of the fleet."""
 
     def __init__(
@@ -174,9 +174,9 @@
         self.plan = plan
         self._directory = tempfile.TemporaryDirectory(prefix="damaskdyke-")
         self._path = Path(self._directory.name)
-        self.platform: Stood | None = None
-        self.upstreams: list[StoodUpstream] = []
-        self.proxies: list[StoodProxy] = []
+        self.platform: FleetProcess | None = None
+        self.upstreams: list[FleetUpstream] = []
+        self.proxies: list[FleetProxy] = []
         self.leaving: set[str] = set()
 
     def __enter__(self) -> "Fleet":
@@ -210,7 +210,7 @@
         arguments = ("stand-in", "platform", "--address", address)
         process = self._make_process("platform", *arguments)
         process.start()
-        self.platform = Stood(address, process)
+        self.platform = FleetProcess(address, process)
         wait_for(lambda: self.platform.is_answering("/control/stats"), "the platform")
 
     def _start_upstreams(self) -> None:
@@ -220,7 +220,7 @@
         for item in self.upstreams:
             wait_for(lambda item=item: item.is_answering("/health"), "an upstream")
 
-    def add_upstream(self, service: ServicePlan, number: int) -> StoodUpstream:
+    def add_upstream(self, service: ServicePlan, number: int) -> FleetUpstream:
         """Start one upstream and list it in its service."""
         name = f"{service.name}-{number}"
         zone = ZONES[number % len(ZONES)]
@@ -239,16 +239,16 @@
             str(self.plan.queue),
         )
         process.start()
-        stood = StoodUpstream(plan, service.name, process)
-        self.upstreams.append(stood)
+        upstream = FleetUpstream(plan, service.name, process)
+        self.upstreams.append(upstream)
         service.upstreams.append(plan)
-        return stood
+        return upstream
 
     def _start_proxies(self) -> None:
         for number in range(self.plan.proxies):
             self.add_proxy(number)
 
-    def add_proxy(self, number: int, seeds: list[str] | None = None) -> StoodProxy:
+    def add_proxy(self, number: int, seeds: list[str] | None = None) -> FleetProxy:
         """Start one proxy."""
         zone = ZONES[number % len(ZONES)]
         host = f"127.0.{10 + number % len(ZONES)}.{1 + number // len(ZONES)}"
@@ -271,7 +271,7 @@
             f"proxy-{number}", "proxy", "--settings", str(file)
         )
         process.start()
-        proxy = StoodProxy(address, peer_address, zone, process, relay)
+        proxy = FleetProxy(address, peer_address, zone, process, relay)
         self.proxies.append(proxy)
         return proxy
 
--- a/tests/tools/test_binary.py
+++ b/tests/tools/test_binary.py
@@ -4,7 +4,7 @@
 import unittest
 from pathlib import Path
 
-from damaskdyke.testbed.fleet import Fleet, FleetPlan, HttpEnd
+from damaskdyke.testbed.fleet import Fleet, FleetPlan, HttpClient
 from damaskdyke.testbed.processes import make_address, wait_for
 from tools import build_binary
 
@@ -37,7 +37,7 @@
         )
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
-        return process, HttpEnd(address)
+        return process, HttpClient(address)
 
     def test_file_serves_a_lookup_alone_and_leaves_nothing(self):
         with Fleet(FleetPlan(proxies=1, upstreams=1)) as fleet:
