--- a/damaskdyke/core/kernel.py
+++ b/damaskdyke/core/kernel.py
@@ -60,7 +60,6 @@
         self.boot: BootId = draw_boot_id()
         self.bus = Bus()
         self._components: dict[type, Component] = {}
-        self._threads: list[threading.Thread] = []
         self._stopping = threading.Event()
 
     def add_registered(self) -> None:
--- a/damaskdyke/membership/component.py
+++ b/damaskdyke/membership/component.py
@@ -6,7 +6,7 @@
 
 from damaskdyke.conf.tree import Vm, VmRole
 from damaskdyke.core.clock import Millis
-from damaskdyke.core.ids import Address, BootId
+from damaskdyke.core.ids import Address
 from damaskdyke.core.kernel import Component, Kernel, components
 from damaskdyke.membership.forwards import ForwardRecord, ForwardTable
 from damaskdyke.membership.links import PeerLink
@@ -326,8 +326,3 @@
         except PeerCallError:
             return False
         return True
-
-    def find_boot(self, address: Address) -> BootId | None:
-        """Return the boot id last heard from an address."""
-        record = self.table.find(address)
-        return None if record is None else record.boot
--- a/damaskdyke/testbed/bench/blocking.py
+++ b/damaskdyke/testbed/bench/blocking.py
@@ -2,7 +2,13 @@
 
 import random
 
-from damaskdyke.testbed.bench.scenarios import Plot, Result, Series, scenarios
+from damaskdyke.testbed.bench.scenarios import (
+    Plot,
+    Result,
+    Series,
+    make_percentile_series,
+    scenarios,
+)
 from damaskdyke.testbed.fleet import Fleet, FleetPlan
 from damaskdyke.testbed.load import (
     Call,
@@ -109,10 +115,7 @@
 def make_curve(label: str, samples: list[Sample]) -> Series:
     """Return the percentiles of the short work."""
     durations = [item.duration for item in samples if item.call.kind == "short"]
-    percents = [float(percent) for percent in range(1, 100)]
-    return Series(
-        label, percents, [find_percentile(durations, percent) for percent in percents]
-    )
+    return make_percentile_series(label, durations)
 
 
 def run_stragglers(hedging: str) -> tuple[list[Sample], int]:
--- a/damaskdyke/testbed/bench/cost.py
+++ b/damaskdyke/testbed/bench/cost.py
@@ -2,7 +2,12 @@
 
 import random
 
-from damaskdyke.testbed.bench.scenarios import Plot, Result, Series, scenarios
+from damaskdyke.testbed.bench.scenarios import (
+    Plot,
+    Result,
+    make_percentile_series,
+    scenarios,
+)
 from damaskdyke.testbed.fleet import Fleet, FleetPlan
 from damaskdyke.testbed.load import (
     Call,
@@ -74,16 +79,8 @@
                     result.note(f"{label} added p{percent} ms", added)
             if label == "1KB":
                 plot.series = [
-                    make_series(kind, list_durations(samples, kind))
+                    make_percentile_series(kind, list_durations(samples, kind))
                     for kind in ("direct", "proxied")
                 ]
     result.plots.append(plot)
     return result
-
-
-def make_series(label: str, durations: list[float]) -> Series:
-    """Return the curve of percentiles."""
-    percents = [float(percent) for percent in range(1, 100)]
-    return Series(
-        label, percents, [find_percentile(durations, percent) for percent in percents]
-    )
--- a/damaskdyke/testbed/bench/scenarios.py
+++ b/damaskdyke/testbed/bench/scenarios.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from damaskdyke.core.registry import Registry
+from damaskdyke.testbed.load import make_histogram
 
 
 @dataclass(frozen=True)
@@ -79,5 +80,13 @@
         self.bounds.append(Bound(name, round(value, 3), least, is_most=False))
 
 
+def make_percentile_series(label: str, durations: list[float]) -> Series:
+    """Return the percentiles of durations, given in seconds, in milliseconds."""
+    histogram = make_histogram(durations)
+    percents = [float(percent) for percent in range(1, 100)]
+    values = [histogram.get_value_at_percentile(percent) / 1000 for percent in percents]
+    return Series(label, percents, values)
+
+
 Scenario = Callable[[], Result]
 scenarios: Registry[Scenario] = Registry("scenario")
--- a/damaskdyke/upstreams/links.py
+++ b/damaskdyke/upstreams/links.py
@@ -49,7 +49,6 @@
         self._idle: list[IdleConnection] = []
         self._open = 0
         self.limit = 1
-        self.in_flight = 0
 
     def take(self, deadline: Deadline, fresh: bool) -> HTTPConnection:
         """Return a connected connection.
--- a/damaskdyke/upstreams/messages.py
+++ b/damaskdyke/upstreams/messages.py
@@ -116,8 +116,3 @@
         super().__init__(f"{failure.value}: {detail}")
         self.failure = failure
         self.detail = detail
-
-    @property
-    def is_unsent(self) -> bool:
-        """Return whether no byte of the request left this process."""
-        return self.failure is Failure.CONNECT
