--- a/damaskdyke/conf/loading.py
+++ b/damaskdyke/conf/loading.py
@@ -16,6 +16,11 @@
 # Largest value that the platform holds.
 MAX_BRANCH_BYTES = 1_000_000
 
+# Marshmallow tells the key of a table from its value by one more level, which the
+# settings do not have.
+DICT_PARTS = ("key", "value")
+SERVICE_DEPTH = 2
+
 
 class SettingsError(ProxyError):
     """A branch or settings file has errors.
@@ -80,7 +85,9 @@
     """Yield one message for each error in marshmallow's nested report."""
     if isinstance(errors, dict):
         for key, inner in errors.items():
-            yield from flatten_errors(branch, inner, (*path, str(key)))
+            is_part = len(path) == SERVICE_DEPTH and key in DICT_PARTS
+            inner_path = path if is_part else (*path, str(key))
+            yield from flatten_errors(branch, inner, inner_path)
         return
     texts = errors if isinstance(errors, list) else [errors]
     for text in texts:
