--- a/damaskdyke/testbed/platform.py
+++ b/damaskdyke/testbed/platform.py
@@ -20,9 +20,14 @@
     UP = "up"
     DOWN = "down"
     STALE = "stale"
+    LAGGING = "lagging"
     OLDER = "older"
 
 
+LAG_MS = 2_000
+LAG_CHECK_MS = 50
+
+
 @dataclass(frozen=True)
 class Published:
     """One published branch."""
@@ -42,6 +47,7 @@
 
     revision: int = 0
     branches: dict[str, Published] = field(default_factory=dict)
+    published_at: int = 0
 
     def to_toml(self) -> bytes:
         """Return the root index."""
@@ -79,7 +85,8 @@
                 return 0
             branches = dict(newest.branches)
             branches[name] = Published(version + 1, text)
-            self._history.append(Snapshot(newest.revision + 1, branches))
+            revision = newest.revision + 1
+            self._history.append(Snapshot(revision, branches, self._clock.now()))
             self._changed.notify_all()
             return version + 1
 
@@ -106,6 +113,10 @@
     def _find_snapshot(self) -> Snapshot:
         if self._mode in (Mode.STALE, Mode.OLDER):
             return self._frozen
+        if self._mode is Mode.LAGGING:
+            limit = self._clock.now() - LAG_MS
+            seen = [item for item in self._history if item.published_at <= limit]
+            return seen[-1]
         return self._history[-1]
 
     def wait_above(self, revision: int, wait_ms: int) -> Snapshot | None:
@@ -118,7 +129,10 @@
                 snapshot = self._find_snapshot()
                 if snapshot.revision > revision:
                     return snapshot
-                self._changed.wait(deadline.left_seconds())
+                pause_ms = deadline.left()
+                if self._mode is Mode.LAGGING:
+                    pause_ms = min(pause_ms, LAG_CHECK_MS)
+                self._changed.wait(pause_ms / 1000)
         return None
 
 
--- a/tests/failures/test_settings.py
+++ b/tests/failures/test_settings.py
@@ -43,6 +43,14 @@
     def test_change_reaches_every_proxy(self):
         self.wait_for_version(self.publish(1_900))
 
+    def test_lagging_platform_brings_the_change_and_takes_nothing_back(self):
+        version = self.publish(1_950)
+        self.wait_for_version(version)
+        self.fleet.set_platform("lagging")
+        later = self.publish(1_960)
+        self.assertGreaterEqual(self.find_version(self.fleet.proxies[0]), version)
+        self.wait_for_version(later)
+
     def test_stale_and_older_platform_never_revert_a_change(self):
         version = self.publish(1_800)
         self.wait_for_version(version)
