Renew the lease of the settings only from the moment at which a proxy asked

A message that a peer had sent during the pause lay in the socket, and reading it after the pause renewed the lease as if it were new; so did a late answer of the platform. Ruled out: a fault of the test, since the platform was down and the peers' answers were held back by 150 ms, so nothing newer could have been known.

Change: the lease counts from the moment at which this proxy asked a peer or the platform, and only if the peer's tree is the same or everything newer was taken in. Messages that peers send by themselves renew nothing. Watches wait for half a lease.

--- a/damaskdyke/distribution/component.py
+++ b/damaskdyke/distribution/component.py
@@ -60,7 +60,7 @@
         self._lock = threading.Lock()
         self._pull_lock = threading.Lock()
         self._mismatches: dict[Address, int] = {}
-        self._platform_at: Millis | None = None
+        self._confirmed_at: Millis | None = None
         self._started_at = kernel.clock.now()
         self._is_started = False
         self._booting_peers: set[Address] = set()
@@ -153,13 +153,24 @@
             self._is_started = True
 
     def _is_confirmed(self) -> bool:
-        limit = self._clock.now() - self._timing.settings_lease_ms
-        if self._platform_at is not None and self._platform_at >= limit:
-            return True
         if not self._membership.has_known_peers():
             return True
-        heard = self._membership.last_heard()
-        return heard is not None and heard >= limit
+        limit = self._clock.now() - self._timing.settings_lease_ms
+        return self._confirmed_at is not None and self._confirmed_at >= limit
+
+    def _confirm(self, asked_at: Millis) -> None:
+        """Renew the lease from the moment at which this proxy asked.
+
+        The moment of the answer does not count: after a pause an answer, or a message
+        of a peer, may have lain in its socket for as long as the pause.
+        """
+        if self._confirmed_at is None or asked_at > self._confirmed_at:
+            self._confirmed_at = asked_at
+
+    def note_answer(self, sender: Address, answer: Exchange, asked_at: Millis) -> None:
+        """Renew the lease if a peer that was asked has the same tree."""
+        if answer.tree_hash == self.store.tree_hash:
+            self._confirm(asked_at)
 
     # Platform.
 
@@ -178,22 +189,28 @@
                 self.kernel.wait(RETRY_MS + random.randrange(RETRY_MS))
 
     def _read_or_watch(self, revision: int) -> int:
+        asked_at = self._clock.now()
         if revision == 0:
             index = self._client.read_index()
         else:
-            index = self._client.watch(revision, self._timing.watch_ms)
-        self._platform_at = self._clock.now()
-        if index is None:
-            return revision
-        self._take_index(index)
-        return max(revision, index.revision)
+            index = self._client.watch(revision, self._find_watch_ms())
+        if index is not None:
+            self._take_index(index)
+            revision = max(revision, index.revision)
+        self._confirm(asked_at)
+        return revision
+
+    def _find_watch_ms(self) -> int:
+        """Return a wait after which the lease still holds."""
+        return min(self._timing.watch_ms, self._timing.settings_lease_ms // 2)
 
     def _read_once(self) -> None:
+        asked_at = self._clock.now()
         try:
             self._take_index(self._client.read_index())
-            self._platform_at = self._clock.now()
         except ProxyError:
             return
+        self._confirm(asked_at)
 
     def _take_index(self, index: Index) -> None:
         for version in self.store.list_newer(list(index.versions)):
@@ -243,13 +260,17 @@
     def _pull_all(self, address: Address) -> bool:
         """Take in everything that a peer has newer; return whether all came."""
         timeout = self._timing.peer_timeout_ms
+        asked_at = self._clock.now()
         try:
             messages = self._membership.pool.call(
                 address, timeout, lambda client: client.list_versions()
             )
         except PeerCallError:
             return False
-        return self._pull(address, [read_version(item) for item in messages])
+        is_whole = self._pull(address, [read_version(item) for item in messages])
+        if is_whole:
+            self._confirm(asked_at)
+        return is_whole
 
     def _pull(self, address: Address, versions: list[Version]) -> bool:
         with self._pull_lock:
--- a/damaskdyke/membership/component.py
+++ b/damaskdyke/membership/component.py
@@ -106,10 +106,6 @@
         """Return whether an address belongs to a proxy that is or was a member."""
         return address in self._seeds or self.table.find(address) is not None
 
-    def last_heard(self) -> Millis | None:
-        """Return when a peer last completed an exchange with this proxy."""
-        return self._heard_at
-
     def note_vms(self, vms: tuple[Vm, ...]) -> None:
         """Take the proxies in the platform's list as addresses to try."""
         own = self.table.own.address
@@ -167,8 +163,11 @@
         offer = self.make_offer(want_all=self._is_full_due())
         timeout = self.kernel.settings.timing.peer_timeout_ms
         call = self.pool.call_fresh if fresh else self.pool.call
+        asked_at = self.clock.now()
         answer = call(address, timeout, lambda client: client.exchange(offer))
         self.read_offer(answer)
+        for part in self._parts:
+            part.note_answer(address, answer, asked_at)
         return answer
 
     def spread_now(self) -> None:
--- a/damaskdyke/membership/parts.py
+++ b/damaskdyke/membership/parts.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 
+from damaskdyke.core.clock import Millis
 from damaskdyke.core.ids import Address
 from damaskdyke.peers.gen.peer.ttypes import Exchange
 
@@ -15,4 +16,17 @@
 
     @abstractmethod
     def read(self, sender: Address, offer: Exchange) -> None:
-        """Take in what a peer said."""
+        """Take in what a peer said, which may have been sent long ago."""
+
+    def note_answer(self, sender: Address, answer: Exchange, asked_at: Millis) -> None:
+        """Take note of an answer to an exchange that this proxy began itself.
+
+        Parameters
+        ----------
+        sender : Address
+            The peer that answered.
+        answer : Exchange
+            What it said.
+        asked_at : Millis
+            When this proxy asked; what the peer said is not older.
+        """
--- a/tests/distribution/test_boot.py
+++ b/tests/distribution/test_boot.py
@@ -28,15 +28,37 @@
         member = Member(peer, 5, "suva", 0, 1)
         offer = Exchange(member, tree_hash, [], [], [], [], False, is_ready)
         self.membership.read_offer(offer)
+        return offer
+
+    def ask(self, peer, asked_at, tree_hash=None):
+        answer = self.hear(peer, True, tree_hash)
+        self.settings.note_answer(peer, answer, asked_at)
 
     def test_booting_peer_does_not_make_ready(self):
         self.hear(PEERS[0], is_ready=False)
         self.assertIs(self.settings.standing(), Standing.BOOTING)
 
     def test_ready_peer_with_the_same_tree_makes_ready(self):
+        self.ask(PEERS[0], self.kernel.clock.now())
+        self.assertIs(self.settings.standing(), Standing.CONFIRMED)
+
+    def test_message_that_lay_in_its_socket_does_not_renew_the_lease(self):
+        asked_at = self.kernel.clock.now()
+        self.ask(PEERS[0], asked_at)
+        self.kernel.clock.advance(60_000)
         self.hear(PEERS[0], is_ready=True)
+        self.assertIs(self.settings.standing(), Standing.ISOLATED)
+        self.ask(PEERS[1], asked_at)
+        self.assertIs(self.settings.standing(), Standing.ISOLATED)
+        self.ask(PEERS[1], self.kernel.clock.now())
         self.assertIs(self.settings.standing(), Standing.CONFIRMED)
 
+    def test_peer_with_another_tree_does_not_renew_the_lease(self):
+        self.ask(PEERS[0], self.kernel.clock.now())
+        self.kernel.clock.advance(60_000)
+        self.ask(PEERS[0], self.kernel.clock.now(), tree_hash=b"other")
+        self.assertIs(self.settings.standing(), Standing.ISOLATED)
+
     def test_ready_peer_that_cannot_be_read_does_not_make_ready(self):
         self.hear(PEERS[0], is_ready=True, tree_hash=b"other")
         self.assertIs(self.settings.standing(), Standing.BOOTING)
@@ -50,6 +72,8 @@
         self.kernel.clock.advance(self.kernel.settings.timing.boot_grace_ms)
         self.assertIs(self.settings.standing(), Standing.BOOTING)
         self.hear(PEERS[1], is_ready=False)
+        self.assertIs(self.settings.standing(), Standing.ISOLATED)
+        self.ask(PEERS[1], self.kernel.clock.now())
         self.assertIs(self.settings.standing(), Standing.CONFIRMED)
 
     def test_proxy_without_listed_peers_is_ready_with_settings(self):
