Check and act on a ticket in one place each

Cause: read through of the whole change. "Check the ticket, then withdraw or look up" stood twice each, for callers and for peers; the settings component listed again which offers change nothing, beside the store's own list of those that do. Orders kept two collaborators that nothing used since its split.

Behaviour as it was.

--- a/damaskdyke/distribution/component.py
+++ b/damaskdyke/distribution/component.py
@@ -15,7 +15,7 @@
     read_version,
 )
 from damaskdyke.distribution.platform import Index, PlatformClient
-from damaskdyke.distribution.store import Offer, Store
+from damaskdyke.distribution.store import CHANGING_OFFERS, Offer, Store
 from damaskdyke.distribution.view import View
 from damaskdyke.membership.component import Membership
 from damaskdyke.membership.parts import ExchangePart
@@ -295,7 +295,7 @@
 
     def _offer(self, document, source: str) -> None:
         result = self.store.offer(document)
-        if result in (Offer.IGNORED_OLD, Offer.IGNORED_DAMAGED):
+        if result not in CHANGING_OFFERS:
             return
         log_event(
             logger,
--- a/damaskdyke/orders/component.py
+++ b/damaskdyke/orders/component.py
@@ -10,7 +10,6 @@
 from damaskdyke.distribution.component import Settings, Standing
 from damaskdyke.distribution.view import find_rule
 from damaskdyke.limits.component import Limits
-from damaskdyke.membership.component import Membership
 from damaskdyke.orders.dispatch import OrderRun
 from damaskdyke.orders.ledger import Ledger
 from damaskdyke.orders.locator import HomeLocator
@@ -43,12 +42,12 @@
     def __init__(self, kernel: Kernel):
         super().__init__(kernel)
         self._clock = kernel.clock
-        self._membership = kernel.get(Membership)
         self._settings = kernel.get(Settings)
         self._limits = kernel.get(Limits)
-        self._bounds = kernel.settings.orders
-        self._own = kernel.settings.peer_address
-        self.ledger = Ledger(self._own, kernel.boot, self._bounds, kernel.clock)
+        settings = kernel.settings
+        self.ledger = Ledger(
+            settings.peer_address, kernel.boot, settings.orders, kernel.clock
+        )
         self.succession = Succession(kernel, self.ledger)
         self._locator = HomeLocator(kernel, self.succession)
 
@@ -110,9 +109,7 @@
             ticket,
             request_id,
             Deadline(self._clock, QUERY_TIMEOUT_MS),
-            lambda ledger: (
-                check_ticket(ledger, ticket) or ledger.withdraw(ticket.sequence)
-            ),
+            lambda ledger: withdraw_ticket(ledger, ticket),
             lambda client: client.withdraw_order(request_id, text),
         )
 
@@ -123,9 +120,7 @@
             ticket,
             request_id,
             Deadline(self._clock, QUERY_TIMEOUT_MS),
-            lambda ledger: (
-                check_ticket(ledger, ticket) or ledger.look_up(ticket.sequence)
-            ),
+            lambda ledger: look_up_ticket(ledger, ticket),
             lambda client: client.get_order(request_id, text),
         )
 
@@ -193,22 +188,12 @@
 
     def answer_withdraw(self, request_id: str, text: str) -> OrderReply:
         """Withdraw an order for a peer."""
-        result = self._answer(
-            text,
-            lambda ledger, ticket: (
-                check_ticket(ledger, ticket) or ledger.withdraw(ticket.sequence)
-            ),
-        )
+        result = self._answer(text, withdraw_ticket)
         return to_order_reply(request_id, text, result)
 
     def answer_look_up(self, request_id: str, text: str) -> OrderReply:
         """Look an order up for a peer."""
-        result = self._answer(
-            text,
-            lambda ledger, ticket: (
-                check_ticket(ledger, ticket) or ledger.look_up(ticket.sequence)
-            ),
-        )
+        result = self._answer(text, look_up_ticket)
         return to_order_reply(request_id, text, result)
 
     def _answer(self, text: str, act) -> OrderResult:
@@ -246,6 +231,16 @@
         return self._run_here(ledger, ticket, service, rule, request)
 
 
+def withdraw_ticket(ledger: Ledger, ticket: Ticket) -> OrderResult:
+    """Withdraw the order of a ticket that its ledger issued."""
+    return check_ticket(ledger, ticket) or ledger.withdraw(ticket.sequence)
+
+
+def look_up_ticket(ledger: Ledger, ticket: Ticket) -> OrderResult:
+    """Return the state of a ticket that its ledger issued."""
+    return check_ticket(ledger, ticket) or ledger.look_up(ticket.sequence)
+
+
 def check_ticket(ledger: Ledger, ticket: Ticket) -> OrderResult | None:
     """Return the refusal of a ticket that its ledger did not issue."""
     if ticket.is_authentic(ledger.secret):
