--- a/damaskdyke/testbed/replay/patterns.py
+++ b/damaskdyke/testbed/replay/patterns.py
@@ -5,6 +5,8 @@
 
 from damaskdyke.core.registry import Registry
 
+ZONES = ("a", "b", "c")
+
 
 class Failing(Enum):
     """How a faulty upstream fails a request."""
