Handle requests sent ahead at the same time; bound whole messages in time and bytes

A time limit for each read let an upstream, caller or store that sends without end keep its reader for ever, and a body in chunks or without length over the limit was returned cut as whole. Change: up to 8 requests of a connection are in flight, answered in order; an order waits for the answers ahead; the last of them closes the connection on a drain.

--- /dev/null
+++ b/damaskdyke/gateway/callers.py
@@ -0,0 +1,245 @@
+"""Connections of callers: reading with a time limit, requests ahead, departures."""
+
+import socket
+import threading
+from collections.abc import Callable
+
+from cheroot.makefile import MakeFile
+from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
+
+from damaskdyke.core.clock import Clock, Millis
+from damaskdyke.gateway.pipeline import Pipeline
+from damaskdyke.utils.polling import is_closed_by_peer, is_hung_up, is_readable
+from damaskdyke.utils.sockets import TimedSocketIO
+
+# A departure that no data on the connection shows is looked for this often.
+DEPARTURE_CHECK_MS = 200
+# Bytes of a request beyond its head and body: the library's read-ahead, and the framing
+# of a body in chunks.
+FRAMING_BYTES = 1_048_576
+
+
+class CallerDisconnected(Exception):
+    """The caller closed its connection before its request was answered."""
+
+
+class CallerWatch:
+    """Tells whether the caller of one request is still there.
+
+    Parameters
+    ----------
+    connection : socket.socket
+        The caller's connection.
+    read_ahead : callable
+        Lets another thread read what the caller sends meanwhile.
+    has_unread_data : callable
+        Returns whether data of the next request was read from the connection already.
+    is_wanted : callable
+        Returns whether an answer can still reach the caller, as far as other threads
+        of the connection know.
+    wait_turn : callable
+        Waits a number of ms until all earlier requests are answered; returns whether
+        they are.
+    """
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        read_ahead: Callable[[], object] = lambda: None,
+        has_unread_data: Callable[[], bool] = lambda: False,
+        is_wanted: Callable[[], bool] = lambda: True,
+        wait_turn: Callable[[int], bool] = lambda timeout_ms: True,
+    ):
+        self._socket = connection
+        self._read_ahead = read_ahead
+        self._has_unread_data = has_unread_data
+        self._is_wanted = is_wanted
+        self._wait_turn = wait_turn
+        # Whether the connection becomes readable only when the caller closes it.
+        self._is_polled = True
+        self._may_read_ahead = False
+
+    @property
+    def sockets(self) -> list[socket.socket]:
+        """Return the sockets to poll besides those of the upstreams."""
+        return [self._socket] if self._is_polled else []
+
+    def limit_wait(self, wait_ms: float) -> float:
+        """Return a time to wait after which :meth:`check` must be called."""
+        return wait_ms if self._is_polled else min(wait_ms, DEPARTURE_CHECK_MS)
+
+    def allow_reading_ahead(self) -> None:
+        """Let the requests behind this one be handled at the same time."""
+        self._may_read_ahead = True
+        if self._has_unread_data():
+            self._is_polled = False
+            self._read_ahead()
+
+    def check(self) -> None:
+        """Raise :class:`CallerDisconnected` if the caller closed its connection.
+
+        A caller that has sent its next request is from then on watched without
+        polling, as its unread data would end each poll at once.
+        """
+        if not self._is_wanted():
+            raise CallerDisconnected
+        if not self._is_polled:
+            if is_hung_up(self._socket):
+                raise CallerDisconnected
+            return
+        if not is_readable(self._socket):
+            return
+        if is_closed_by_peer(self._socket):
+            raise CallerDisconnected
+        self._is_polled = False
+        if self._may_read_ahead:
+            self._read_ahead()
+
+    def wait_for_answers_ahead(self, deadline: int, clock: Clock) -> None:
+        """Wait until all earlier requests of the connection are answered.
+
+        Raises
+        ------
+        CallerDisconnected
+            If the caller closed its connection, or an answer ahead closes it.
+        TimeoutError
+            If the deadline has passed.
+        """
+        while not self._wait_turn(DEPARTURE_CHECK_MS):
+            self.check()
+            if clock.now() >= deadline:
+                raise TimeoutError
+        if not self._is_wanted():
+            raise CallerDisconnected
+
+
+class CallerRequestHandler(HTTPRequest):
+    """A request with its place in the connection's order and its time of arrival."""
+
+    def __init__(self, server, conn: "CallerConnection"):
+        super().__init__(server, conn)
+        self.number = conn.reading_number
+        self.arrived_at = conn.arrived_at
+        self._has_answer = False
+        self._expects_continue = False
+
+    def header_reader(self, rfile, headers: dict[bytes, bytes]) -> None:
+        """Read the header; the library would answer an expectation out of turn."""
+        HeaderReader()(rfile, headers)
+        expectation = headers.pop(b"Expect", b"")
+        self._expects_continue = expectation.lower() == b"100-continue"
+
+    def read_request_headers(self) -> bool:
+        """Read the header and ask for the body if the caller waits for that."""
+        is_valid = super().read_request_headers()
+        if is_valid and self._expects_continue and self.wait_turn():
+            self.conn.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        return is_valid
+
+    def parse_request(self) -> None:
+        """Read the head; one that ends before it begins is a departure."""
+        super().parse_request()
+        if not self.ready and not self._has_answer:
+            self.conn.pipeline.mark_caller_gone()
+
+    def simple_response(self, status, msg="") -> None:
+        """Write an error of the library in its turn, as the last answer."""
+        self._has_answer = True
+        self.close_connection = True
+        if self.wait_turn():
+            self.conn.pipeline.close_after(self.number)
+            super().simple_response(status, msg)
+
+    def wait_turn(self) -> bool:
+        """Wait for the answers ahead; return whether this one can reach the caller."""
+        pipeline = self.conn.pipeline
+        while not pipeline.wait_turn(self.number, DEPARTURE_CHECK_MS):
+            if is_hung_up(self.conn.socket):
+                pipeline.mark_caller_gone()
+        return pipeline.is_wanted(self.number)
+
+    def make_watch(self) -> CallerWatch:
+        """Return the watch over the caller while this request is handled."""
+        connection = self.conn
+        return CallerWatch(
+            connection.socket,
+            connection.read_ahead,
+            connection.has_unread_data,
+            lambda: connection.pipeline.is_wanted(self.number),
+            lambda timeout_ms: connection.pipeline.wait_turn(self.number, timeout_ms),
+        )
+
+
+class CallerConnection(HTTPConnection):
+    """A caller's connection, on which several requests may be in flight."""
+
+    RequestHandlerClass = CallerRequestHandler
+
+    def __init__(self, server, sock: socket.socket, clock: Clock):
+        self._clock = clock
+        self._raw_reader = TimedSocketIO(sock, clock)
+        super().__init__(server, sock, self._make_file)
+        self.pipeline = Pipeline()
+        # Number and time of arrival of the request that is being read.
+        self.reading_number = 0
+        self.arrived_at = Millis(0)
+        # Since when data of the next request is known to wait, ``None`` if it is not.
+        self._unread_since: Millis | None = None
+        self._lock = threading.Lock()
+        self._threads = 1
+        self.start_reader: Callable[[CallerConnection], object] = lambda _: None
+
+    def _make_file(self, sock: socket.socket, mode: str, buffer_size: int):
+        made = MakeFile(sock, mode, buffer_size)
+        if "r" in mode:
+            # The library offers no other way to replace the raw reader.
+            made._raw = self._raw_reader
+        return made
+
+    def begin_request(self, read_timeout_ms: int) -> int | None:
+        """Return the number of the next request; it must be read in a time limit."""
+        now = self._clock.now()
+        self.arrived_at = now if self._unread_since is None else self._unread_since
+        self._unread_since = None
+        self.limit_read(read_timeout_ms)
+        number = self.pipeline.begin()
+        if number is not None:
+            self.reading_number = number
+        return number
+
+    def limit_read(self, timeout_ms: int) -> None:
+        """Set the time limit for the part of a request that is read next."""
+        max_bytes = self.server.max_request_header_size
+        max_bytes += self.server.max_request_body_size + FRAMING_BYTES
+        self._raw_reader.start_message(timeout_ms, max_bytes)
+
+    def end_reading(self) -> None:
+        """Give the reading role up, as the present request was read whole."""
+        if self.rfile.has_data():
+            self._unread_since = self._clock.now()
+        self.pipeline.release_reading()
+
+    def has_unread_data(self) -> bool:
+        """Return whether data of the next request was read already."""
+        return self.rfile.has_data()
+
+    def read_ahead(self) -> None:
+        """Let another thread read the next request, unless one does or none may.
+
+        During a drain the caller is to send it elsewhere.
+        """
+        if self._unread_since is None:
+            self._unread_since = self._clock.now()
+        if self.server.is_draining or not self.pipeline.take_reading():
+            return
+        with self._lock:
+            self._threads += 1
+        self.start_reader(self)
+
+    def leave(self) -> None:
+        """End one thread's work on the connection; the last one closes it."""
+        with self._lock:
+            self._threads -= 1
+            is_last = not self._threads
+        if is_last:
+            self.close()
