Wait on a stop only for the requests and orders that are there

Ruled out: a hand-over that hangs, which has time limits. Change: a drain waits for the requests and orders of the moment at which it begins to wait.

--- a/damaskdyke/front/lifecycle.py
+++ b/damaskdyke/front/lifecycle.py
@@ -1,5 +1,6 @@
 """Lifecycle component: readiness, requests in flight, and draining."""
 
+import itertools
 import logging
 import threading
 from collections.abc import Iterator
@@ -38,7 +39,9 @@
         self._membership = kernel.get(Membership)
         self._timing = kernel.settings.timing
         self._lock = threading.Lock()
-        self._in_flight = 0
+        # Numbers of the requests in flight, in the order in which they began.
+        self._in_flight: set[int] = set()
+        self._numbers = itertools.count()
         self._is_draining = False
 
     @property
@@ -60,18 +63,19 @@
     def count_in_flight(self) -> int:
         """Return the number of callers' requests that are being answered."""
         with self._lock:
-            return self._in_flight
+            return len(self._in_flight)
 
     @contextmanager
     def track_request(self) -> Iterator[None]:
         """Count a request as in flight while the context lasts."""
         with self._lock:
-            self._in_flight += 1
+            number = next(self._numbers)
+            self._in_flight.add(number)
         try:
             yield
         finally:
             with self._lock:
-                self._in_flight -= 1
+                self._in_flight.remove(number)
 
     def drain(self) -> None:
         """Finish the requests in flight, hand the ledgers over and leave the fleet.
@@ -85,23 +89,30 @@
         self._orders.held_ledgers.stop_accepting()
         log_event(logger, "drain", step="notice", in_flight=self.count_in_flight())
         self._wait_for_drain_notice()
-        self._wait_until_idle()
+        self._wait_for_work()
         log_event(logger, "drain", step="hand-over", in_flight=self.count_in_flight())
         self._orders.held_ledgers.hand_over_all()
         self._membership.leave()
-        self._wait_until_idle()
+        self._wait_for_work()
         log_event(logger, "drain", step="done", in_flight=self.count_in_flight())
 
     def _wait_for_drain_notice(self) -> None:
         self.kernel.clock.sleep(self._timing.drain_notice_ms)
 
-    def _wait_until_idle(self) -> None:
-        """Wait until no request or order is in flight, at most for the drain limit."""
+    def _wait_for_work(self) -> None:
+        """Wait for the present requests and orders, at most for the drain limit.
+
+        Those that come meanwhile are not waited for: callers that go on sending would
+        keep the proxy from stopping.
+        """
         deadline = Deadline(self.kernel.clock, self._timing.drain_limit_ms)
-        while not deadline.is_past():
-            if (
-                not self.count_in_flight()
-                and not self._orders.held_ledgers.count_in_progress()
-            ):
-                return
+        awaited = self._list_work()
+        while awaited and not deadline.is_past():
             self.kernel.clock.sleep(DRAIN_POLL_INTERVAL_MS)
+            awaited &= self._list_work()
+
+    def _list_work(self) -> set:
+        """Return the requests in flight and the orders in progress."""
+        with self._lock:
+            requests = set(self._in_flight)
+        return requests | self._orders.held_ledgers.list_in_progress()
--- a/damaskdyke/orders/held_ledgers.py
+++ b/damaskdyke/orders/held_ledgers.py
@@ -62,11 +62,15 @@
         with self._lock:
             self._is_accepting = False
 
-    def count_in_progress(self) -> int:
-        """Return the number of claimed or dispatched orders in all ledgers."""
+    def list_in_progress(self) -> set[tuple[BootId, int]]:
+        """Return home and sequence number of the claimed or dispatched orders."""
         with self._lock:
             ledgers = list(self._ledgers.values())
-        return sum(ledger.count_in_progress() for ledger in ledgers)
+        return {
+            (ledger.boot, sequence)
+            for ledger in ledgers
+            for sequence in ledger.list_in_progress()
+        }
 
     def hand_over_all(self) -> None:
         """Seal every ledger and hand each that has entries to one successor.
--- a/damaskdyke/orders/ledger.py
+++ b/damaskdyke/orders/ledger.py
@@ -343,11 +343,11 @@
         with self._state_changed:
             return len(self._entries)
 
-    def count_in_progress(self) -> int:
-        """Return the number of orders that are claimed or dispatched."""
+    def list_in_progress(self) -> set[int]:
+        """Return the sequence numbers of the orders that are claimed or dispatched."""
         with self._state_changed:
-            return sum(
-                1
+            return {
+                item.sequence
                 for item in self._entries_by_expiry
                 if item.state in IN_PROGRESS_STATES
-            )
+            }
