--- a/damaskdyke/utils/randomness.py
+++ b/damaskdyke/utils/randomness.py
@@ -3,6 +3,7 @@
 import hashlib
 import secrets
 from collections.abc import Iterable
+from functools import lru_cache
 
 from damaskdyke.core.ids import BootId, RequestId
 
@@ -10,6 +11,8 @@
 BOOT_ID_BITS = 62
 REQUEST_ID_BYTES = 8
 SCORE_BYTES = 8
+# Rankings of the same members are made several times a second.
+MAX_REMEMBERED_HASHES = 8_192
 
 
 def generate_boot_id() -> BootId:
@@ -22,6 +25,7 @@
     return RequestId(secrets.token_hex(REQUEST_ID_BYTES))
 
 
+@lru_cache(maxsize=MAX_REMEMBERED_HASHES)
 def hash_score(*parts: str) -> int:
     """Return a 64-bit hash of a sequence of texts, equal in every process."""
     text = "\x00".join(parts).encode()
