--- /dev/null
+++ b/tests/fleet/test_relay.py
@@ -0,0 +1,81 @@
+import errno
+import random
+import socket
+import unittest
+from unittest import mock
+
+from damaskdyke.catalogue.state import CatalogueState
+from damaskdyke.catalogue.types import Change
+from damaskdyke.core.clock import Clock
+from damaskdyke.fleet.gen.fleet.Relay import Processor
+from damaskdyke.fleet.gen.fleet.ttypes import ViewChange, ViewPart
+from damaskdyke.fleet.relay import RelayClient, RelayError, RelayHandler, decode_part
+from damaskdyke.peers.server import PeerServer
+from damaskdyke.peers.traffic import Traffic
+from damaskdyke.platform.documents import StoreDecoder
+from damaskdyke.testbed.processes import get_free_port
+from damaskdyke.utils.sockets import accept_connections
+
+SEED = 11
+FUZZ_MESSAGES = 200
+
+
+class RelayTest(unittest.TestCase):
+    def setUp(self):
+        self.state = CatalogueState(Clock(), StoreDecoder())
+        self.state.replace([Change("k", 3, b"v")], 3, False)
+        self.port = get_free_port("127.0.0.1")
+        self.client = RelayClient(self.port, Traffic())
+
+    def serve(self, handler):
+        address = f"127.0.0.1:{self.port}"
+        self.enterContext(PeerServer(address, Processor(handler), Traffic()))
+
+    def test_bytes_that_are_no_call_do_not_end_the_relay(self):
+        self.serve(RelayHandler(self.state))
+        rng = random.Random(SEED)
+        for _ in range(FUZZ_MESSAGES):
+            data = rng.randbytes(rng.randrange(1, 60))
+            if rng.random() < 0.5:
+                data = len(data).to_bytes(4, "big") + data
+            with socket.create_connection(("127.0.0.1", self.port), 5) as connection:
+                connection.sendall(data)
+        changes, is_whole, revision = self.client.fetch("127.0.0.1", 0)
+        self.assertEqual([change.key for change in changes], ["k"])
+        self.assertEqual((is_whole, revision), (True, 3))
+
+    def test_answer_with_a_damaged_part_is_an_error_of_the_relay(self):
+        change = ViewChange("k", 1, b"", False, False)
+        for part in (
+            ViewPart(None, True, 3),
+            ViewPart([change], True, None),
+            ViewPart([change], True, -1),
+            ViewPart([ViewChange(None, 1, b"", False, False)], True, 3),
+            ViewPart([ViewChange("k", None, b"", False, False)], True, 3),
+        ):
+            with self.subTest(part):
+                handler = mock.Mock()
+                handler.fetch_view.return_value = part
+                self.port = get_free_port("127.0.0.1")
+                self.serve(handler)
+                client = RelayClient(self.port, Traffic())
+                with self.assertRaises(RelayError):
+                    client.fetch("127.0.0.1", 0)
+        self.assertEqual(decode_part(ViewPart([change], None, 3))[1:], (False, 3))
+
+
+class AcceptTest(unittest.TestCase):
+    def test_lack_of_descriptors_does_not_end_the_listener(self):
+        listener = mock.Mock()
+        listener.accept.side_effect = [
+            OSError(errno.EMFILE, "too many open files"),
+            OSError(errno.ECONNABORTED, "aborted"),
+            ("connection", ("127.0.0.1", 1)),
+        ]
+        listener.getsockopt.return_value = 1
+        self.assertEqual(next(accept_connections(listener))[0], "connection")
+
+    def test_closed_listener_ends_the_loop(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.close()
+        self.assertEqual(list(accept_connections(listener)), [])
