--- a/damaskdyke/fleet/audience.py
+++ b/damaskdyke/fleet/audience.py
@@ -56,13 +56,13 @@
         A reader tells the zone. The others had the change from a reader, so they say
         nothing unless their zone has none.
         """
+        zone = self._members.list_zone()
         if is_reading:
-            return self._members.list_zone() + self.list_for_other_zones()
+            return zone + self.list_for_other_zones()
         if self._members.has_reader(now):
             return []
         if self._members.is_hub(self._capacity, now):
-            return self._members.list_zone()
-        zone = self._members.list_zone()
+            return zone
         if not self._members.is_large_zone:
             return zone + self.list_for_other_zones()
         contacts = self._members.list_contacts(now)
