Keep the whole fleet to the rate limits that upstreams state

Cause: no code read the limit, and none could have kept it, as a limit of about one request a second is for all proxies together and each proxy alone sends that little. The class of fault: pressure that an upstream states is not heard.

--- a/damaskdyke/fleet/reports.py
+++ b/damaskdyke/fleet/reports.py
@@ -13,6 +13,8 @@
 SEND_KINDS = {kind.value: kind for kind in SendKind}
 # Outcomes that every zone is told about.
 BAD_OUTCOMES = frozenset({Outcome.FAILED, Outcome.STALLED, Outcome.UNREACHABLE})
+# Rate limit on the wire of an upstream that states none.
+NO_LIMIT = -1.0
 
 
 class Urgency(Enum):
@@ -52,6 +54,9 @@
         Time on that proxy's clock, which orders reports that overtake each other.
     is_foreign : bool
         Whether a hub relays the report from another availability zone.
+    rate_limit : float or None
+        Requests per second that the upstream stated in a reply, `NO_LIMIT` if it stated
+        none, ``None`` if the report is not about that.
     """
 
     upstream: UpstreamId
@@ -63,6 +68,7 @@
     origin: str = ""
     reported_at: Millis = Millis(0)
     is_foreign: bool = False
+    rate_limit: float | None = None
 
 
 def encode_report(report: LoadReport) -> UpstreamNews:
@@ -77,6 +83,7 @@
         report.origin,
         report.reported_at,
         report.is_foreign,
+        report.rate_limit,
     )
 
 
@@ -98,4 +105,10 @@
         message.origin or "",
         Millis(message.told_at or 0),
         bool(message.is_foreign),
+        message.rate_limit,
     )
+
+
+def is_for_every_zone(report: LoadReport) -> bool:
+    """Return whether other zones are told too: of a fault or a rate limit."""
+    return report.outcome in BAD_OUTCOMES or report.rate_limit is not None
