Reject replies whose connection ends within their head

An upstream stopped in the middle of its reply's head and closed: the caller got a 200 with an empty body, framed as whole. http.client takes the end of the connection for the end of a head, of a chunk size and of the trailers, so that a head without its Content-Length became a reply without length and with an empty body.

--- a/damaskdyke/upstreams/pools.py
+++ b/damaskdyke/upstreams/pools.py
@@ -1,5 +1,6 @@
 """Connection pool for one upstream, bounded by this proxy's share of its limit."""
 
+import http.client
 import threading
 
 from urllib3.connection import HTTPConnection
@@ -9,11 +10,26 @@
 from damaskdyke.core.clock import Clock, Deadline, Millis
 from damaskdyke.core.ids import Address
 from damaskdyke.upstreams.messages import Failure, UpstreamError
+from damaskdyke.utils.sockets import WholeLineReader
 
 # A connection that was idle for longer is closed instead of reused.
 MAX_IDLE_MS = 20_000
 
 
+class WholeHeadResponse(http.client.HTTPResponse):
+    """Response that fails if the connection ends within its head."""
+
+    def __init__(self, *args: object, **options: object):
+        super().__init__(*args, **options)
+        self.fp = WholeLineReader(self.fp.detach())
+
+
+class UpstreamHTTPConnection(HTTPConnection):
+    """Connection to an upstream that accepts only replies with a whole head."""
+
+    response_class = WholeHeadResponse
+
+
 class IdleConnection:
     """An open connection that is not in use, and when it became idle."""
 
@@ -106,7 +122,7 @@
     def _connect(self, deadline: Deadline) -> HTTPConnection:
         host, port = self.address.rsplit(":", 1)
         timeout_ms = min(self._connect_timeout_ms, deadline.remaining_ms())
-        connection = HTTPConnection(
+        connection = UpstreamHTTPConnection(
             host,
             int(port),
             timeout=max(1, timeout_ms) / 1000,
--- a/tests/upstreams/test_calls.py
+++ b/tests/upstreams/test_calls.py
@@ -1,3 +1,4 @@
+import socket
 import threading
 import unittest
 
@@ -80,6 +81,30 @@
         self.state.faults = Faults(wrong=True)
         self.assertIs(self.read_failure(), Failure.MISMATCHED)
 
+    def test_reply_that_ends_within_its_head_fails(self):
+        for head in (
+            b"HTTP/1.1 204 No Content\r\n",
+            b"HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Result: do",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0",
+        ):
+            listener = self.enterContext(socket.create_server(("127.0.0.1", 0)))
+            address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+            self.pool = UpstreamPool(address, Clock(), 500, "127.0.0.1")
+
+            def answer(listener=listener, head=head):
+                connection, _ = listener.accept()
+                with connection:
+                    connection.recv(65_536)
+                    connection.sendall(head)
+
+            thread = threading.Thread(target=answer)
+            thread.start()
+            with self.subTest(head):
+                failure = self.read_failure()
+                self.assertIn(failure, (Failure.MALFORMED, Failure.TRUNCATED))
+            thread.join()
+
     def test_connection_limit_is_enforced(self):
         self.pool.max_open = 0
         self.assertIs(self.read_failure(), Failure.CONNECT)
