Handle stop signals that another thread than the main one took

Cause, from the stacks of its threads: the main thread waited without a time limit, and Python runs handlers only there and only once it wakes; the signal had gone to another thread.

The main thread takes signals from a queue and wakes at least once a second, as it did on the platform.

--- a/damaskdyke/management/commands/demo.py
+++ b/damaskdyke/management/commands/demo.py
@@ -2,11 +2,11 @@
 
 import json
 import signal
-import threading
 from argparse import ArgumentParser, Namespace
 
 from damaskdyke.core.management.base import BaseCommand, ExitCode
 from damaskdyke.testbed.fleet import Fleet, FleetPlan
+from damaskdyke.utils.signals import SignalQueue
 
 ORDER = json.dumps({"order": "callout-1", "pump": "savusavu-7"}).encode()
 
@@ -42,10 +42,7 @@
             print(f"upstream: http://{item.address} ({item.plan.id})")
         print("try: damaskdyke lookup", fleet.proxies[0].address, "/crew-desk/pumps/7")
         print("stop with Ctrl-C", flush=True)
-        done = threading.Event()
-        for number in (signal.SIGINT, signal.SIGTERM):
-            signal.signal(number, lambda *_: done.set())
-        done.wait()
+        SignalQueue(signal.SIGINT, signal.SIGTERM).wait()
 
     def run_steps(self, fleet: Fleet) -> ExitCode:
         """Send a lookup and an order, repeat the order, and stop a proxy.
