Let a stop not wait for orders whose claim ended after the ledger was sealed

In a sealed ledger an order that was not sent stayed claimed, although no thread worked on it any more. The second wait of a drain counted it as in progress, up to the drain limit (125 s), and repeated requests waited for it up to their deadline.

--- a/damaskdyke/orders/ledger.py
+++ b/damaskdyke/orders/ledger.py
@@ -188,7 +188,8 @@
     def resolve(self, sequence: int, state: EntryState, reason: str) -> OrderResult:
         """End a claim or dispatch that has no reply, and return the result.
 
-        A sealed ledger does not record ``NOT_RUN``; the outcome is then ``PENDING``.
+        A sealed ledger does not record ``NOT_RUN``: the entry is no longer claimed, and
+        the outcome is ``PENDING``.
 
         Parameters
         ----------
@@ -205,6 +206,8 @@
                 return self._make_result(entry)
             if self._is_sealed and state is EntryState.NOT_RUN:
                 # The successor can still run the order under its copy of the entry.
+                entry.state = EntryState.ISSUED
+                self._state_changed.notify_all()
                 return OrderResult(Outcome.PENDING, "the ledger was handed over")
             entry.state = state
             entry.reason = reason
@@ -215,8 +218,8 @@
         """End a claim whose thread failed.
 
         The state becomes ``NOT_RUN`` if nothing was sent, else ``UNKNOWN``. In a sealed
-        ledger an unsent order keeps its state and the outcome is ``PENDING``; a final
-        state stays as it is.
+        ledger an unsent order is no longer claimed and the outcome is ``PENDING``; a
+        final state stays as it is.
         """
         with self._state_changed:
             is_claimed = self._entries[sequence].state is EntryState.CLAIMED
--- a/tests/orders/test_handover.py
+++ b/tests/orders/test_handover.py
@@ -49,6 +49,18 @@
         deadline = Deadline(self.clock, 100)
         self.assertFalse(self.ledger.mark_dispatched(ticket.sequence, deadline))
 
+    def test_claim_that_ends_after_sealing_is_not_in_progress(self):
+        """A stop waited up to its limit for an order that no thread worked on."""
+        sequence = self.ledger.issue().sequence
+        self.ledger.claim(sequence, b"x")
+        self.hand_over()
+        result = self.ledger.resolve(sequence, EntryState.NOT_RUN, "sealed")
+        self.assertIs(result.outcome, Outcome.PENDING)
+        self.assertEqual(self.ledger.list_in_progress(), set())
+        deadline = Deadline(self.clock, 1_000)
+        self.assertFalse(self.ledger.mark_dispatched(sequence, deadline))
+        self.assertIs(self.ledger.claim(sequence, b"x").outcome, Outcome.PENDING)
+
     def test_sealed_ledger_never_reports_not_run(self):
         claimed, issued = self.ledger.issue(), self.ledger.issue()
         self.ledger.claim(claimed.sequence, b"x")
