Limit the time in which a stopping proxy passes every request on

With a grace period of 10 s, as in the large deployment, requests were passed on whatever their deadline for 5 s of a stop. One of the fifth second with a deadline of 6 s would be cut off when the process ends. Found by reading; no run showed it.

That time is 3 s at most: until then the load balancer has noticed the stop. test_long_grace_period_does_not_lengthen_the_time_of_every_request failed before; tests.gateway.test_stopping: 5 passed, 0 failed.

--- a/damaskdyke/gateway/stopping.py
+++ b/damaskdyke/gateway/stopping.py
@@ -9,8 +9,11 @@
 
 from damaskdyke.core.clock import Millis
 
-# Share of the grace period in which requests are passed on, whatever their deadline.
-EARLY_SHARE = 0.5
+# Time in which requests are passed on, whatever their deadline, and its limit as a
+# share of the grace period. New connections arrive until the load balancer has noticed
+# the stop.
+EARLY_MS = 3_000
+MAX_EARLY_SHARE = 0.5
 # Part of the grace period that is kept for the exit itself, which takes long on a slow
 # VM, and its limit as a share of the period.
 EXIT_MARGIN_MS = 800
@@ -39,7 +42,8 @@
 
 def plan_stop(grace_ms: int, now: Millis) -> StopSchedule:
     """Return the schedule of a stop that begins now."""
+    early_ms = min(EARLY_MS, MAX_EARLY_SHARE * grace_ms)
     exit_ms = min(EXIT_MARGIN_MS, MAX_EXIT_SHARE * grace_ms)
     return StopSchedule(
-        Millis(int(now + EARLY_SHARE * grace_ms)), Millis(int(now + grace_ms - exit_ms))
+        Millis(int(now + early_ms)), Millis(int(now + grace_ms - exit_ms))
     )
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -43,3 +43,10 @@
     def test_short_grace_period_keeps_less_for_the_exit(self):
         schedule = plan_stop(1_200, 0)
         self.assertEqual((schedule.early_until, schedule.ends_at), (600, 1_000))
+
+    def test_long_grace_period_does_not_lengthen_the_time_of_every_request(self):
+        """In a grace of 10 s, requests of the fifth second were cut off."""
+        schedule = plan_stop(10_000, 0)
+        self.assertFalse(schedule.allows_send(6_000, 4_000))
+        self.assertTrue(schedule.allows_send(5_000, 4_000))
+        self.assertTrue(schedule.allows_send(10_000, 2_900))
