Keep a reload from ending a proxy that still loads its modules

Until its handler was set, SIGHUP had its default action; loading the modules takes a second or more on a busy VM.

The entry point ignores SIGHUP for the proxy before it loads the command; the handler set later queues it.

--- a/damaskdyke/__main__.py
+++ b/damaskdyke/__main__.py
@@ -1,8 +1,6 @@
 """Entry point of ``python -m damaskdyke``."""
 
-import sys
-
-from damaskdyke.core.management.runner import run
+from damaskdyke.core.management.runner import main
 
 if __name__ == "__main__":
-    sys.exit(run(sys.argv[1:]))
+    main()
