--- a/damaskdyke/testbed/replay/floor.py
+++ b/damaskdyke/testbed/replay/floor.py
@@ -75,7 +75,9 @@
         windows = [self._check_window(upstreams, start) for start in starts]
         return [window for window in windows if window is not None]
 
-    def _check_window(self, upstreams: list[str], start_ms: int):
+    def _check_window(
+        self, upstreams: list[str], start_ms: int
+    ) -> FloorViolation | None:
         end_ms = start_ms + WINDOW_MS
         first, last = (bisect_left(self.results, (at,)) for at in (start_ms, end_ms))
         asked = last - first
