--- a/damaskdyke/dispatch/rate_limits.py
+++ b/damaskdyke/dispatch/rate_limits.py
@@ -157,13 +157,8 @@
 
     def may_send(self, upstream: UpstreamId, incarnation: int, now: Millis) -> bool:
         """Return whether the limit of an upstream, if any, allows a send now."""
-        limit = self._limits.get(upstream)
-        return (
-            limit is None
-            or limit.per_second is None
-            or limit.incarnation != incarnation
-            or limit.open_at <= now
-        )
+        limit = self.find(upstream, incarnation)
+        return limit is None or limit.open_at <= now
 
     def update(
         self,
