--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -268,13 +268,14 @@
 
     def read(self, count: int) -> bytes:
         """Return this many bytes, fewer if the connection ends."""
-        while len(self.buffer) < count:
+        found = bytearray(self.buffer)
+        while len(found) < count:
             data = self.socket.recv(65_536)
             if not data:
                 break
-            self.buffer += data
-        found, self.buffer = self.buffer[:count], self.buffer[count:]
-        return found
+            found += data
+        self.buffer = bytes(found[count:])
+        return bytes(found[:count])
 
     def read_to_end(self) -> bytes:
         """Return all bytes until the connection ends."""
