--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,6 +10,8 @@
 import harness  # noqa: E402
 
 ROUNDS = 4
+# Short orders before each long one: early answers are 1 in 42 of the server.
+SHORT_ORDERS = 40
 LONG_BODY = 24 * 1024 * 1024
 DEADLINE_MS = 1_000
 # The server reads on after this time.
@@ -83,16 +85,26 @@
             harness.make_config(
                 7,
                 [harness.make_route("r-order", "/order/", "non_idempotent", "parts")],
-                ["parts"],
+                ["parts", "desk"],
             ),
         )
-        server = fleet.add_server("parts", "suva", receive_buffer=RECEIVE_BUFFER)
+        # One of two servers is in trouble.
+        fleet.add_server("desk", "suva")
+        server = fleet.add_server(
+            "parts", "suva", receive_buffer=RECEIVE_BUFFER, work_seconds=0.005
+        )
         server.respond = respond
         fleet.start()
         client = harness.Client(log)
         front = fleet.proxies[0].front
         for number in range(ROUNDS):
             sent.update((f"long-{number}", f"short-{number}"))
+            for count in range(SHORT_ORDERS):
+                sent.add(f"before-{number}.{count}")
+                client.send(
+                    front, "PUT", "/order/c", DEADLINE_MS, b"one seal\n",
+                    f"before-{number}.{count}",
+                )  # fmt: skip
             client.send(
                 front, "PUT", "/order/a", DEADLINE_MS,
                 make_body(f"long-{number}"), f"long-{number}",
