--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,6 @@
 #!/usr/bin/env bash
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
+# TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")"
+export TROUBLE="${TROUBLE:-1}"
 exec python3 case.py
