--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -2,9 +2,13 @@
 
 import threading
 
+from damaskdyke.gateway.connections import UpstreamConnection
 from damaskdyke.gateway.messages import AnswerKind
+from damaskdyke.platform.headers import HEADERS
 from damaskdyke.testbed.instance import Behaviour
 from damaskdyke.testbed.processes import wait_for
+from damaskdyke.upstreams.messages import Failure, Header, UpstreamError
+from damaskdyke.utils.polling import is_hung_up
 from tests.gateway.cases import GatewayCase
 
 # Does not fit into the buffers of a connection.
@@ -39,3 +43,32 @@
                 self.assertEqual(answer.status, 200)
                 self.assertEqual(answer.body, b"reply to q%d" % self.request_count)
                 self.assertEqual(self.upstream.bodies.pop(), LONG_BODY)
+
+
+class ResetReplyTest(GatewayCase):
+    """Half of a reply without a length reached the caller as a whole one."""
+
+    def setUp(self):
+        super().setUp()
+        self.upstream.behaviour = Behaviour.EARLY_RESET
+        self.upstream.release = threading.Event()
+        self.addCleanup(self.upstream.release.set)
+
+    def test_reply_that_is_reset_during_the_write_is_unknown(self):
+        self.upstream.release.set()
+        for _ in range(5):
+            answer = self.order(body=LONG_BODY, deadline_ms=20_000)
+            self.assertEqual(answer.kind, AnswerKind.UNKNOWN)
+
+    def test_reset_that_the_write_reports_ends_the_reply(self):
+        connection = UpstreamConnection(self.upstream.describe(), 1_000, self.clock)
+        self.addCleanup(connection.close)
+        headers = [Header(HEADERS.request_id, "q1")]
+        connection.send("POST", "/p/x", headers, LONG_BODY, 20_000)
+        self.upstream.release.set()
+        wait_for(lambda: is_hung_up(connection.socket), "the reset")
+        with self.assertRaises(UpstreamError):
+            connection.write_rest(20_000)
+        with self.assertRaises(UpstreamError) as caught:
+            connection.read(20_000)
+        self.assertEqual(caught.exception.failure, Failure.TRUNCATED)
