--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -1,15 +1,19 @@
 """Tests of the state that allows a connection to carry another request."""
 
 import threading
+import tracemalloc
+from unittest import mock
 
-from damaskdyke.gateway.connections import UpstreamConnection
+from damaskdyke.gateway import connections
+from damaskdyke.gateway.connections import MAX_HEAD_BYTES, UpstreamConnection
 from damaskdyke.gateway.messages import AnswerKind
 from damaskdyke.platform.headers import HEADERS
+from damaskdyke.testbed import instance as stand_in
 from damaskdyke.testbed.instance import Behaviour
 from damaskdyke.testbed.processes import wait_for
 from damaskdyke.upstreams.messages import Failure, Header, UpstreamError
 from damaskdyke.utils.polling import is_hung_up
-from tests.gateway.cases import GatewayCase
+from tests.gateway.cases import GatewayCase, make_route
 
 # Does not fit into the buffers of a connection.
 LONG_BODY = b"one impeller, not the other\n" * 1_000_000
@@ -45,6 +49,35 @@
                 self.assertEqual(self.upstream.bodies.pop(), LONG_BODY)
 
 
+class ReplyMemoryTest(GatewayCase):
+    """Bytes without end were kept until a proxy ran out of memory."""
+
+    def check_peak(self, start, piece):
+        """Check that a reply without end takes at most twice what it may hold."""
+        max_body = 128 * 1024
+        limits = {"MAX_REPLY_BYTES": max_body, "MAX_FRAMING_BYTES": 1 << 24}
+        for name, value in limits.items():
+            self.enterContext(mock.patch.object(connections, name, value))
+        self.enterContext(mock.patch.object(stand_in, "ENDLESS_GAP_SECONDS", 0.0001))
+        parts = {Behaviour.ENDLESS_HEAD: (start, piece)}
+        self.enterContext(mock.patch.dict(stand_in.ENDLESS_PARTS, parts))
+        self.upstream.behaviour = Behaviour.ENDLESS_HEAD
+        route = make_route(is_idempotent=False, timeout_ms=1_000_000)
+        forwarder = self.make_forwarder(route, b"x", deadline_ms=1_000_000)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        self.assertEqual(forwarder.run().kind, AnswerKind.UNKNOWN)
+        peak = tracemalloc.get_traced_memory()[1]
+        self.assertLess(peak, 2 * (MAX_HEAD_BYTES + max_body))
+
+    def test_header_lines_without_end_are_not_kept(self):
+        self.check_peak(b"HTTP/1.1 200 OK\r\n", b"X-Long: %s\r\n" % (b"x" * 60_000))
+
+    def test_small_chunks_without_end_take_no_more_than_large_ones(self):
+        start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.check_peak(start, b"2\r\nxy\r\n" * 1_000)
+
+
 class ResetReplyTest(GatewayCase):
     """Half of a reply without a length reached the caller as a whole one."""
 
