Take no data that another thread has read for a departure

Callers saw: lookups that were sent ahead of the answer before them were passed on, run and not answered (LOST).

Cause: the peek that tells data from the end of a connection waits for the time-out of the socket in spite of MSG_DONTWAIT, if another thread has read the data meanwhile. The time-out counted as a departure.

Change: a departure is asked for with poll alone; is_closed_by_peer goes.

It works because poll reads nothing and does not wait.

--- a/damaskdyke/gateway/callers.py
+++ b/damaskdyke/gateway/callers.py
@@ -9,7 +9,7 @@
 
 from damaskdyke.core.clock import Clock, Millis
 from damaskdyke.gateway.pipeline import Pipeline
-from damaskdyke.utils.polling import is_closed_by_peer, is_hung_up, is_readable
+from damaskdyke.utils.polling import is_hung_up, is_readable
 from damaskdyke.utils.sockets import TimedSocketIO
 
 # A departure that no data on the connection shows is looked for this often.
@@ -89,7 +89,8 @@
             return
         if not is_readable(self._socket):
             return
-        if is_closed_by_peer(self._socket):
+        # Another thread may read the data meanwhile, so that none is asked for here.
+        if is_hung_up(self._socket):
             raise CallerDisconnected
         self._is_polled = False
         if self._may_read_ahead:
--- a/tests/gateway/test_pipelining.py
+++ b/tests/gateway/test_pipelining.py
@@ -3,10 +3,13 @@
 import socket
 import threading
 import time
+from unittest import mock
 
 from damaskdyke.catalogue.catalogue import build_catalogue
 from damaskdyke.core.ids import Address
+from damaskdyke.gateway import callers
 from damaskdyke.gateway.application import Application, make_caller_gateway
+from damaskdyke.gateway.callers import CallerDisconnected, CallerWatch
 from damaskdyke.gateway.instruments import Instruments
 from damaskdyke.gateway.pipeline import MAX_REQUESTS_AHEAD, Pipeline
 from damaskdyke.gateway.server import ThreadedServer
@@ -18,6 +21,22 @@
 DELAY_MS = 300
 
 
+class WatchTest(GatewayCase):
+    """A lookup was given up while another thread read the one behind it."""
+
+    def test_data_that_another_thread_has_read_is_no_departure(self):
+        self.caller.settimeout(0.05)
+        watch = CallerWatch(self.caller)
+        with mock.patch.object(callers, "is_readable", return_value=True):
+            watch.check()
+
+    def test_departure_is_noticed(self):
+        watch = CallerWatch(self.caller)
+        self.caller_end.close()
+        with self.assertRaises(CallerDisconnected):
+            watch.check()
+
+
 class PipeliningCase(GatewayCase):
     upstreams = 3
 
