Count no wait for data that another thread reads

Callers would see: 504 for a lookup on a kept connection, whose time had seemed to run since a request before it.

Cause: the thread that sees data of the next request notes since when it waits, also if another thread is reading that data. The note then stood for the request after it.

Change: the note is made under the reading role, or where no thread has it.

--- a/damaskdyke/gateway/callers.py
+++ b/damaskdyke/gateway/callers.py
@@ -229,14 +229,21 @@
 
         During a drain the caller is to send it elsewhere.
         """
-        if self._unread_since is None:
+        has_role = not self.server.is_draining and self.pipeline.take_reading()
+        if self._unread_since is None and self._has_unread_request(has_role):
             self._unread_since = self._clock.now()
-        if self.server.is_draining or not self.pipeline.take_reading():
+        if not has_role:
             return
         with self._lock:
             self._threads += 1
         self.start_reader(self)
 
+    def _has_unread_request(self, has_role: bool) -> bool:
+        """Return whether data waits that no other thread is reading."""
+        if has_role:
+            return self.rfile.has_data() or is_readable(self.socket)
+        return not self.pipeline.is_read
+
     def leave(self) -> None:
         """End one thread's work on the connection; the last one closes it."""
         with self._lock:
--- a/damaskdyke/gateway/pipeline.py
+++ b/damaskdyke/gateway/pipeline.py
@@ -82,6 +82,11 @@
 
     # The reading role.
 
+    @property
+    def is_read(self) -> bool:
+        """Return whether a thread has the reading role."""
+        return self._is_read
+
     def release_reading(self) -> None:
         """Give the reading role up, after a request was read whole."""
         with self._changed:
--- a/tests/gateway/test_pipelining.py
+++ b/tests/gateway/test_pipelining.py
@@ -6,10 +6,15 @@
 from unittest import mock
 
 from damaskdyke.catalogue.catalogue import build_catalogue
+from damaskdyke.core.clock import ManualClock
 from damaskdyke.core.ids import Address
 from damaskdyke.gateway import callers
 from damaskdyke.gateway.application import Application, make_caller_gateway
-from damaskdyke.gateway.callers import CallerDisconnected, CallerWatch
+from damaskdyke.gateway.callers import (
+    CallerConnection,
+    CallerDisconnected,
+    CallerWatch,
+)
 from damaskdyke.gateway.instruments import Instruments
 from damaskdyke.gateway.pipeline import MAX_REQUESTS_AHEAD, Pipeline
 from damaskdyke.gateway.server import ThreadedServer
@@ -85,6 +90,11 @@
             item.release = release
         return release
 
+    def open_connection(self):
+        """Return the proxy's side of a caller's connection, with a clock at 1,000."""
+        self.manual_clock = ManualClock(1_000)
+        return CallerConnection(self.server, self.caller, self.manual_clock)
+
     def count_runs(self):
         return sum(sum(item.runs.values()) for item in self.instances)
 
@@ -242,6 +252,34 @@
         self.assertFalse(self.was_run("q2"))
 
 
+class ArrivalTest(PipeliningCase):
+    """A request seemed to have come when another thread read the one before it."""
+
+    def test_data_that_another_thread_reads_does_not_wait(self):
+        connection = self.open_connection()
+        connection.read_ahead()
+        self.manual_clock.advance(5_000)
+        connection.begin_request(1_000)
+        self.assertEqual(connection.arrived_at, 6_000)
+
+    def test_data_that_another_thread_has_read_does_not_wait(self):
+        connection = self.open_connection()
+        connection.pipeline.release_reading()
+        connection.read_ahead()
+        self.manual_clock.advance(5_000)
+        connection.begin_request(1_000)
+        self.assertEqual(connection.arrived_at, 6_000)
+
+    def test_data_that_nobody_reads_waits(self):
+        connection = self.open_connection()
+        self.caller_end.sendall(make_request("q1"))
+        connection.pipeline.release_reading()
+        connection.read_ahead()
+        self.manual_clock.advance(5_000)
+        connection.begin_request(1_000)
+        self.assertEqual(connection.arrived_at, 1_000)
+
+
 class CallerLimitsTest(PipeliningCase):
     def test_head_a_byte_at_a_time_ends_at_the_header_timeout(self):
         self.server.get_header_timeout_ms = lambda: 300
