--- a/tests/gateway/test_pipelining.py
+++ b/tests/gateway/test_pipelining.py
@@ -255,29 +255,26 @@
 class ArrivalTest(PipeliningCase):
     """A request seemed to have come when another thread read the one before it."""
 
-    def test_data_that_another_thread_reads_does_not_wait(self):
-        connection = self.open_connection()
+    def read_after_a_pause(self, connection):
+        """Return when the next request, read 5 s later, seems to have come."""
         connection.read_ahead()
         self.manual_clock.advance(5_000)
         connection.begin_request(1_000)
-        self.assertEqual(connection.arrived_at, 6_000)
+        return connection.arrived_at
+
+    def test_data_that_another_thread_reads_does_not_wait(self):
+        self.assertEqual(self.read_after_a_pause(self.open_connection()), 6_000)
 
     def test_data_that_another_thread_has_read_does_not_wait(self):
         connection = self.open_connection()
         connection.pipeline.release_reading()
-        connection.read_ahead()
-        self.manual_clock.advance(5_000)
-        connection.begin_request(1_000)
-        self.assertEqual(connection.arrived_at, 6_000)
+        self.assertEqual(self.read_after_a_pause(connection), 6_000)
 
     def test_data_that_nobody_reads_waits(self):
         connection = self.open_connection()
         self.caller_end.sendall(make_request("q1"))
         connection.pipeline.release_reading()
-        connection.read_ahead()
-        self.manual_clock.advance(5_000)
-        connection.begin_request(1_000)
-        self.assertEqual(connection.arrived_at, 1_000)
+        self.assertEqual(self.read_after_a_pause(connection), 1_000)
 
 
 class CallerLimitsTest(PipeliningCase):
