--- a/tests/testbed/test_relay.py
+++ b/tests/testbed/test_relay.py
@@ -2,7 +2,7 @@
 import threading
 import unittest
 
-from damaskdyke.testbed.relay import RESET_ON_CLOSE, Relay
+from damaskdyke.testbed.relay import Relay, reset_on_close
 
 
 class RelayTest(unittest.TestCase):
@@ -23,7 +23,7 @@
         near, far = self.connect()
         far.sendall(b"half")
         self.assertEqual(near.recv(10), b"half")
-        far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        reset_on_close(far)
         far.close()
         with self.assertRaises(ConnectionResetError):
             near.recv(10)
