--- a/damaskdyke/fleet/reports.py
+++ b/damaskdyke/fleet/reports.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from damaskdyke.core.clock import Millis
-from damaskdyke.core.ids import UpstreamId
+from damaskdyke.core.ids import UpstreamId, WorkspaceName
 from damaskdyke.dispatch.outcomes import Outcome, SendKind
 from damaskdyke.fleet.gen.fleet.ttypes import UpstreamNews
 
@@ -57,6 +57,8 @@
     rate_limit : float or None
         Requests per second that the upstream stated in a reply, `NO_LIMIT` if it stated
         none, ``None`` if the report is not about that.
+    workspace : WorkspaceName or None
+        Workspace whose request is sent, on the first send of a request that has one.
     """
 
     upstream: UpstreamId
@@ -69,6 +71,7 @@
     reported_at: Millis = Millis(0)
     is_foreign: bool = False
     rate_limit: float | None = None
+    workspace: WorkspaceName | None = None
 
 
 def encode_report(report: LoadReport) -> UpstreamNews:
@@ -84,6 +87,7 @@
         report.reported_at,
         report.is_foreign,
         report.rate_limit,
+        report.workspace,
     )
 
 
@@ -106,6 +110,7 @@
         Millis(message.told_at or 0),
         bool(message.is_foreign),
         message.rate_limit,
+        message.workspace,
     )
 
 
