Serve requests with keys only beside a recent proof

Cause: a proxy that is cut off from the store, frozen or told late went on serving keys that the operators had withdrawn.

Change: where the settings limit the time (strict_revoke, revoke), a proof that the catalogue was the store's newest is needed. A reader proves it by the time at which it sent a watch; others ask, and date the answer from their question less its age.

--- a/damaskdyke/fleet/audience.py
+++ b/damaskdyke/fleet/audience.py
@@ -75,5 +75,10 @@
             found += self._sample(members, COPIES_PER_REMOTE_ZONE)
         return found
 
+    def list_for_urgent_question(self, asked: list[Member]) -> list[Member]:
+        """Return members to ask beside those of the zone that were asked already."""
+        others = [item for item in self._members.list_zone() if item not in asked]
+        return self._sample(others, RANDOM_ZONE_MEMBERS) + self.list_for_other_zones()
+
     def _sample(self, members: list[Member], count: int) -> list[Member]:
         return self._random.sample(members, min(count, len(members)))
--- a/tests/gateway/test_keys.py
+++ b/tests/gateway/test_keys.py
@@ -14,6 +14,7 @@
 from damaskdyke.platform.headers import HEADERS
 from damaskdyke.upstreams.messages import Header
 from damaskdyke.workspaces.directory import Directory
+from damaskdyke.workspaces.freshness import FreshnessTracker
 from damaskdyke.workspaces.types import Workspace
 from tests.gateway.cases import GatewayCase, make_route
 
@@ -26,6 +27,7 @@
         public = make_route(name="p", prefix="/public/", is_public=True)
         self.routes = (make_route(), public)
         self.set_directory(Directory([Workspace("w1", ("k1",))]))
+        self.freshness = FreshnessTracker(None)
         self.application = Application(
             self.dispatcher,
             self.pool,
@@ -35,6 +37,7 @@
             lambda: self.view,
             lambda: self.is_view_confirmed,
             lambda: 1,
+            self.freshness,
         )
 
     def set_directory(self, directory):
@@ -100,3 +103,14 @@
             Header(HEADERS.workspace.lower(), "w"),
         ]
         self.assertEqual(list_forwarded(headers, HEADERS, True), [])
+
+    def test_key_is_not_relied_on_without_a_recent_proof(self):
+        # It may have been withdrawn while this proxy was cut off from the store.
+        self.freshness.set_max_age_ms(5_000)
+        self.assertEqual(self.ask(key="k1"), 503)
+        self.freshness.record_watch(self.clock.now(), self.view.revision)
+        self.assertEqual(self.ask(key="k1"), 200)
+        self.freshness.set_max_age_ms(0)
+        self.clock.sleep(5)
+        self.assertEqual(self.ask(key="k1"), 503)
+        self.assertEqual(self.ask(path="/public/x"), 200)
