--- a/damaskdyke/fleet/audience.py
+++ b/damaskdyke/fleet/audience.py
@@ -17,6 +17,10 @@
 # Random members of a large zone that an ordinary member addresses, beside the hub and
 # the readers.
 RANDOM_ZONE_MEMBERS = 2
+# Share of its heartbeats that a member which neither reads the store nor is the hub
+# sends to a member of another zone. The readers tell the other zones what they need to
+# know each second; the rest only keeps more members known.
+REMOTE_HEARTBEAT_SHARE = 0.2
 
 
 class Audience:
@@ -42,23 +46,27 @@
     def list_for_heartbeat(self, is_reading: bool, now: Millis) -> list[Member]:
         """Return the members that get the heartbeat of each second."""
         zone = self._members.list_zone()
-        is_hub = self._members.is_hub(self._capacity, now)
-        if is_reading or is_hub or not self._members.is_large_zone:
+        if is_reading or self._members.is_hub(self._capacity, now):
             return zone + self.list_for_other_zones()
+        remote = []
+        if self._random.random() < REMOTE_HEARTBEAT_SHARE:
+            remote = self._sample(self.list_for_other_zones(), 1)
+        if not self._members.is_large_zone:
+            return zone + remote
         contacts = self._members.list_contacts(now)
         others = [member for member in zone if member not in contacts]
-        others = self._sample(others, RANDOM_ZONE_MEMBERS)
-        return contacts + others + self._sample(self.list_for_other_zones(), 1)
+        return contacts + self._sample(others, RANDOM_ZONE_MEMBERS) + remote
 
     def list_for_change(self, is_reading: bool, now: Millis) -> list[Member]:
         """Return the members that are told at once that the catalogue has changed.
 
-        A reader tells the zone. The others had the change from a reader, so they say
+        A reader tells the zone; the other zones have readers of their own, see
+        `list_for_other_zones`. The others had the change from a reader, so they say
         nothing unless their zone has none.
         """
         zone = self._members.list_zone()
         if is_reading:
-            return zone + self.list_for_other_zones()
+            return zone
         if self._members.has_reader(now):
             return []
         if self._members.is_hub(self._capacity, now):
--- a/damaskdyke/workspaces/freshness.py
+++ b/damaskdyke/workspaces/freshness.py
@@ -19,11 +19,11 @@
 
 # Share of the bound after which a proof is to be renewed, and after which anybody is
 # asked because the readers of the zone did not answer.
-RENEWAL_SHARE = 0.4
-URGENT_SHARE = 0.6
+RENEWAL_SHARE = 0.5
+URGENT_SHARE = 0.7
 # Longest wait of a watch as a share of the bound: a watch proves what held when it was
 # sent, so its proof is as old as its wait when it is answered.
-WATCH_WAIT_SHARE = 0.3
+WATCH_WAIT_SHARE = 0.25
 # Interval of questions while a proof is to be renewed, and while there is hardly one.
 QUESTION_INTERVAL_MS = 700
 URGENT_QUESTION_INTERVAL_MS = 250
