--- a/damaskdyke/fleet/proofs.py
+++ b/damaskdyke/fleet/proofs.py
@@ -55,7 +55,9 @@
         proof = self._freshness.find_proof(revision)
         if proof is None:
             return None
-        return FreshnessProof(asked_at, now - proof.proven_at, proof.revision)
+        # Both times are rounded down, so the age may be a millisecond more.
+        age_ms = now - proof.proven_at + 1
+        return FreshnessProof(asked_at, age_ms, proof.revision)
 
     def record_answer(self, proof: FreshnessProof) -> None:
         """Record the proof that another proxy sent in answer to a question."""
