--- /dev/null
+++ b/damaskdyke/workspaces/quotas.py
@@ -0,0 +1,479 @@
+"""Quotas of workspaces over the whole fleet: decisions of one proxy, without I/O.
+
+Every proxy of a zone counts the first sends of the whole zone, its own at once and
+those of its peers from their load reports. Each keeps the same token bucket for every
+active workspace: filled at the zone's share of the rate and drained by these sends. The
+design is in docs/design/quotas.md.
+
+Load pattern: hundreds of thousands of workspaces, of which some hundreds are active. A
+workspace without recent sends takes no memory, and the cost of a request does not grow
+with the number of workspaces.
+"""
+
+import math
+import random
+from dataclasses import dataclass
+
+from damaskdyke.conf.vm import FleetBounds
+from damaskdyke.core.clock import MILLIS_PER_SECOND, Millis
+from damaskdyke.core.ids import WorkspaceName, ZoneName
+from damaskdyke.workspaces.directory import Directory
+from damaskdyke.workspaces.types import Workspace
+
+# Parts of the tolerance (window x rate x over + burst x over + slack) of the fleet. The
+# rest covers sends that proxies do not know of yet: load reports take up to 150 ms, and
+# the rates of other zones up to 1 s.
+CAPACITY_SHARE = 0.35
+# Level of the bucket of a process that has just started.
+START_SHARE = 0.1
+# Part of the slack that all zones together may run in each window beyond the rate, so
+# that an uneven spread does not refuse requests of a workspace with a small quota.
+REFILL_SHARE = 0.25
+# Reserve, in time at the zone's share of the rate. Below it, requests are admitted with
+# a probability that falls with the level, as peers may take the same tokens.
+RESERVE_SECONDS = 0.6
+# Largest part of the capacity that is reserve.
+MAX_RESERVE_SHARE = 0.5
+# Number of zones that is assumed at least while the fleet is not known yet.
+ASSUMED_ZONES = 3
+# Number of proxies in the zone that is assumed at least meanwhile. Proxies that start
+# together would otherwise each use the zone's whole share until they know each other.
+ASSUMED_ZONE_PROXIES = 12
+# Age at which an announcement of another zone's rates expires. Two in succession may be
+# lost. With 2,000 ms, a zone that ran the whole rate when the zones lost contact, while
+# the others became busy, took the fleet 12% over the bound.
+ANNOUNCEMENT_EXPIRY_MS = 1_200
+# Time between the first announcement of a workspace by this zone and the use of what
+# the other zones leave: they announce theirs within it.
+BORROW_DELAY_MS = 1_000
+# Part that is used of what the other zones leave. A zone learns of a loss of contact
+# only when announcements expire, and until then the others may become busy.
+BORROW_SHARE = 0.9
+# A zone announces a workspace of which another zone announces a rate from this part of
+# the quota on. Otherwise zones just below the usual threshold would run up to a third
+# of the quota without the others knowing.
+CONTESTED_SHARE = 0.02
+# Lower rates are not announced: each request of a small quota would be.
+MIN_ANNOUNCED_PER_SECOND = 0.2
+# Time constant of the rate of sends. It covers some sends of a small quota.
+MIN_RATE_MEMORY_MS = 600
+MAX_RATE_MEMORY_MS = 3_000
+RATE_MEMORY_SENDS = 3
+# Bounds of Retry-After, and the least range over which retries are spread.
+MIN_RETRY_AFTER_MS = 50
+MIN_SPREAD_MS = 400
+# A bucket is dropped once it is full and the rate of sends is below this part of the
+# quota. A new bucket is full too, so nothing is lost.
+IDLE_SHARE = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """What a proxy knows of its fleet.
+
+    Parameters
+    ----------
+    zones : frozenset of ZoneName
+        Zones that may run requests, this proxy's included.
+    zone_proxies : int
+        Proxies of this zone that it hears from, itself included.
+    expected_proxies : int
+        Largest recent number of these.
+    is_size_known : bool
+        Whether the fleet has had time to become known.
+    """
+
+    zones: frozenset[ZoneName]
+    zone_proxies: int = 1
+    expected_proxies: int = 1
+    is_size_known: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Decision about one request, with its inputs.
+
+    Parameters
+    ----------
+    is_allowed : bool
+        Whether the request is below the quota.
+    retry_after_ms : int
+        Time after which a retry may succeed, 0 for an allowed request.
+    level : float
+        Tokens in the zone's bucket.
+    per_second : float
+        Present share of the zone in the workspace's rate.
+    age_ms : int or None
+        Age of the oldest announcement of another zone, ``None`` if one has never
+        announced anything, or if there is no other zone.
+    draw : float
+        Random number that decided below the reserve. The check before a delayed send
+        uses the same one, so that a wait alone does not refuse a request.
+    """
+
+    is_allowed: bool
+    retry_after_ms: int = 0
+    level: float = 0.0
+    per_second: float = 0.0
+    age_ms: int | None = None
+    draw: float = 0.0
+
+
+UNLIMITED = Admission(is_allowed=True)
+
+
+@dataclass(slots=True)
+class Bucket:
+    """State of one active workspace.
+
+    Parameters
+    ----------
+    rate, burst : float
+        The limits in force.
+    level : float
+        Tokens; negative after sends that nobody knew of in time.
+    share : float
+        Tokens that are added each second.
+    updated_at : Millis
+        Time up to which tokens were added.
+    sends : float
+        Sends of the zone, decayed with the time constant of the workspace.
+    counted_at : Millis
+        Time up to which they are decayed.
+    announced_since : Millis or None
+        Since when the zone announces the workspace, ``None`` while it does not.
+    """
+
+    rate: float
+    burst: float
+    level: float
+    share: float
+    updated_at: Millis
+    counted_at: Millis
+    sends: float = 0.0
+    announced_since: Millis | None = None
+
+
+class QuotaTable:
+    """Token buckets of one proxy for its zone. Not thread-safe.
+
+    Parameters
+    ----------
+    bounds : FleetBounds
+        Window and tolerance of the quotas.
+    zone : ZoneName
+        Availability zone of this proxy.
+    started_at : Millis
+        Start of the process, from which buckets fill.
+    random_source : random.Random
+        Source of the random decisions.
+    """
+
+    def __init__(
+        self,
+        bounds: FleetBounds,
+        zone: ZoneName,
+        started_at: Millis,
+        random_source: random.Random,
+    ):
+        self._bounds = bounds
+        self._zone = zone
+        self._started_at = started_at
+        self._random = random_source
+        self._directory: Directory | None = None
+        self._fleet = FleetView(frozenset({zone}), is_size_known=False)
+        self._buckets: dict[WorkspaceName, Bucket] = {}
+        # Rates and times of announcements, by workspace and zone.
+        self._zone_rates: dict[WorkspaceName, dict[ZoneName, tuple[float, Millis]]] = {}
+        self._zones_heard_at: dict[ZoneName, Millis] = {}
+        # Whether any workspace has a quota.
+        self.has_limits = False
+
+    def __len__(self) -> int:
+        return len(self._buckets)
+
+    # Decisions.
+
+    def admit(
+        self, workspace: Workspace, now: Millis, draw: float | None = None
+    ) -> Admission:
+        """Return whether a request may be sent; it costs nothing until it is.
+
+        Parameters
+        ----------
+        workspace : Workspace
+            Workspace of the request.
+        now : Millis
+            Present time.
+        draw : float or None
+            Random number of an earlier admission of the same request.
+        """
+        if workspace.rate_per_second <= 0:
+            return UNLIMITED
+        bucket = self._get_bucket(workspace.name, now)
+        if bucket is None:
+            # The catalogue was replaced after the workspace was looked up.
+            return UNLIMITED
+        self._refill(bucket, now)
+        if draw is None:
+            draw = self._random.random()
+        is_allowed = bucket.level > draw * self._get_reserve(bucket)
+        retry_after_ms = 0 if is_allowed else self._choose_retry_after_ms(bucket)
+        return Admission(
+            is_allowed,
+            retry_after_ms,
+            bucket.level,
+            bucket.share,
+            self._get_input_age_ms(now),
+            draw,
+        )
+
+    def record_own_send(self, name: WorkspaceName, now: Millis) -> None:
+        """Count the first send of a request of this proxy."""
+        self._record_send(name, now)
+
+    def record_peer_send(self, name: WorkspaceName, now: Millis) -> None:
+        """Count the first send of a request that a peer of this zone reported."""
+        self._record_send(name, now)
+
+    # Inputs.
+
+    def record_zone_heard(self, zone: ZoneName, now: Millis) -> None:
+        """Record an announcement of another zone, also one without any rate.
+
+        What the zone does not announce counts as not used.
+        """
+        if zone != self._zone:
+            self._zones_heard_at[zone] = now
+
+    def record_zone_rate(
+        self, zone: ZoneName, name: WorkspaceName, per_second: float, now: Millis
+    ) -> None:
+        """Record the rate of a workspace that another zone announced."""
+        if zone == self._zone or self._directory is None:
+            return
+        if self._directory.find(name) is None:
+            return
+        self.record_zone_heard(zone, now)
+        self._zone_rates.setdefault(name, {})[zone] = (per_second, now)
+
+    def set_limits(self, directory: Directory | None, now: Millis) -> None:
+        """Apply the workspaces of the catalogue in force.
+
+        A changed limit is in force at once. A bucket never holds more than its new
+        capacity; tokens that were added stay otherwise.
+        """
+        if directory is self._directory:
+            return
+        self._directory = directory
+        workspaces = () if directory is None else directory.list_all()
+        self.has_limits = any(item.rate_per_second > 0 for item in workspaces)
+        for name, bucket in self._buckets.items():
+            workspace = None if directory is None else directory.find(name)
+            if workspace is None or workspace.rate_per_second <= 0:
+                # The bucket stays until it is idle: the limit may come back.
+                continue
+            self._refill(bucket, now)
+            bucket.rate = workspace.rate_per_second
+            bucket.burst = workspace.burst
+            self._update_share(name, bucket, now)
+
+    def set_bounds(self, bounds: FleetBounds, now: Millis) -> None:
+        """Replace the window and the tolerance of the quotas."""
+        self._bounds = bounds
+        self._update_shares(now)
+
+    def set_fleet(self, fleet: FleetView, now: Millis) -> None:
+        """Apply what is known of the fleet, and drop what is idle or expired.
+
+        To be called some times a second. A zone that was known once counts as long as
+        the process lives: it may run requests while this proxy does not hear from it.
+        """
+        zones = self._fleet.zones | fleet.zones
+        self._fleet = FleetView(
+            zones, fleet.zone_proxies, fleet.expected_proxies, fleet.is_size_known
+        )
+        self._expire_zone_rates(now)
+        self._update_shares(now)
+        idle = [
+            name for name, bucket in self._buckets.items() if self._is_idle(bucket, now)
+        ]
+        for name in idle:
+            del self._buckets[name]
+
+    def list_zone_rates(self, now: Millis) -> list[tuple[WorkspaceName, float]]:
+        """Return the workspaces that this zone announces, with its rates.
+
+        Every proxy calls it, also one that announces nothing itself, as the zone may
+        use what others leave once it has announced a workspace for some time.
+        """
+        announced = []
+        for name, bucket in self._buckets.items():
+            per_second = self._get_sends_per_second(bucket, now)
+            threshold = bucket.rate / (2 * self._count_zones())
+            if self._zone_rates.get(name):
+                threshold = CONTESTED_SHARE * bucket.rate
+            if per_second <= max(threshold, MIN_ANNOUNCED_PER_SECOND):
+                bucket.announced_since = None
+                continue
+            if bucket.announced_since is None:
+                bucket.announced_since = now
+            announced.append((name, per_second))
+        return announced
+
+    # Buckets.
+
+    def _record_send(self, name: WorkspaceName, now: Millis) -> None:
+        bucket = self._get_bucket(name, now)
+        if bucket is None:
+            return
+        self._refill(bucket, now)
+        # A debt of more than a window cannot come from late reports. It comes from a
+        # smaller view of the zone than the peers have, who repay what they run.
+        floor = -bucket.share * self._bounds.quota_window_ms / MILLIS_PER_SECOND
+        bucket.level = max(bucket.level - 1, min(floor, -1))
+        bucket.sends = self._decay_sends(bucket, now) + 1
+        bucket.counted_at = now
+
+    def _get_bucket(self, name: WorkspaceName, now: Millis) -> Bucket | None:
+        bucket = self._buckets.get(name)
+        if bucket is not None:
+            return bucket
+        workspace = None if self._directory is None else self._directory.find(name)
+        if workspace is None or workspace.rate_per_second <= 0:
+            return None
+        bucket = Bucket(
+            workspace.rate_per_second, workspace.burst, 0.0, 0.0, self._started_at, now
+        )
+        bucket.share = self._compute_share(name, bucket, now)
+        tolerance = self._compute_tolerance(bucket)
+        level = START_SHARE * tolerance / self._count_zones()
+        bucket.level = level * self._get_zone_part()
+        self._refill(bucket, now)
+        self._buckets[name] = bucket
+        return bucket
+
+    def _refill(self, bucket: Bucket, now: Millis) -> None:
+        elapsed_seconds = max(0, now - bucket.updated_at) / MILLIS_PER_SECOND
+        level = bucket.level + bucket.share * elapsed_seconds
+        bucket.level = min(level, self._compute_capacity(bucket))
+        bucket.updated_at = now
+
+    def _is_idle(self, bucket: Bucket, now: Millis) -> bool:
+        is_full = bucket.level >= self._compute_capacity(bucket)
+        per_second = self._get_sends_per_second(bucket, now)
+        return is_full and per_second < IDLE_SHARE * bucket.rate
+
+    def _compute_tolerance(self, bucket: Bucket) -> float:
+        """Return the requests beyond rate and burst that the fleet may run a window."""
+        window_seconds = self._bounds.quota_window_ms / MILLIS_PER_SECOND
+        quota = bucket.rate * window_seconds + bucket.burst
+        return quota * self._bounds.quota_over + self._bounds.quota_slack
+
+    def _compute_capacity(self, bucket: Bucket) -> float:
+        tolerance = self._compute_tolerance(bucket)
+        capacity = bucket.burst + CAPACITY_SHARE * tolerance
+        return capacity * self._get_zone_part() / self._count_zones()
+
+    def _get_reserve(self, bucket: Bucket) -> float:
+        largest = MAX_RESERVE_SHARE * self._compute_capacity(bucket)
+        return min(RESERVE_SECONDS * bucket.share, largest)
+
+    def _get_zone_part(self) -> float:
+        """Return the part of the zone that this proxy hears from."""
+        fleet = self._fleet
+        expected = max(1, fleet.expected_proxies)
+        if not fleet.is_size_known:
+            expected = max(expected, ASSUMED_ZONE_PROXIES)
+        return min(1.0, fleet.zone_proxies / expected)
+
+    def _count_zones(self) -> int:
+        known = len(self._fleet.zones)
+        return known if self._fleet.is_size_known else max(known, ASSUMED_ZONES)
+
+    # Shares of the zones.
+
+    def _update_shares(self, now: Millis) -> None:
+        for name, bucket in self._buckets.items():
+            self._refill(bucket, now)
+            self._update_share(name, bucket, now)
+
+    def _update_share(self, name: WorkspaceName, bucket: Bucket, now: Millis) -> None:
+        bucket.share = self._compute_share(name, bucket, now)
+        bucket.level = min(bucket.level, self._compute_capacity(bucket))
+
+    def _compute_share(self, name: WorkspaceName, bucket: Bucket, now: Millis) -> float:
+        """Return the requests a second that this proxy's part of the zone may run."""
+        zones = self._count_zones()
+        share = bucket.rate / zones
+        since = bucket.announced_since
+        if since is not None and now - since >= BORROW_DELAY_MS:
+            unused = bucket.rate - share - self._sum_used(name, bucket, now)
+            share += BORROW_SHARE * max(0.0, unused)
+        window_seconds = self._bounds.quota_window_ms / MILLIS_PER_SECOND
+        extra = REFILL_SHARE * self._bounds.quota_slack / (zones * window_seconds)
+        return min(bucket.rate, share + extra) * self._get_zone_part()
+
+    def _sum_used(self, name: WorkspaceName, bucket: Bucket, now: Millis) -> float:
+        """Return the rate that the other zones use, as far as it is known."""
+        zones = self._count_zones()
+        rates = self._zone_rates.get(name, {})
+        used = 0.0
+        others = self._fleet.zones - {self._zone}
+        for zone in others:
+            per_second, announced_at = rates.get(zone, (0.0, None))
+            if announced_at is not None and is_current(announced_at, now):
+                used += per_second
+            elif not is_current(self._zones_heard_at.get(zone), now):
+                used += bucket.rate / zones
+        unknown_zones = zones - 1 - len(others)
+        return used + unknown_zones * bucket.rate / zones
+
+    def _expire_zone_rates(self, now: Millis) -> None:
+        for name, rates in list(self._zone_rates.items()):
+            current = {
+                zone: item for zone, item in rates.items() if is_current(item[1], now)
+            }
+            if current:
+                self._zone_rates[name] = current
+            else:
+                del self._zone_rates[name]
+
+    # Rates and times.
+
+    def _get_memory_ms(self, bucket: Bucket) -> float:
+        zone_rate = bucket.rate / self._count_zones()
+        memory_ms = RATE_MEMORY_SENDS / zone_rate * MILLIS_PER_SECOND
+        return min(max(memory_ms, MIN_RATE_MEMORY_MS), MAX_RATE_MEMORY_MS)
+
+    def _decay_sends(self, bucket: Bucket, now: Millis) -> float:
+        elapsed_ms = max(0, now - bucket.counted_at)
+        return bucket.sends * math.exp(-elapsed_ms / self._get_memory_ms(bucket))
+
+    def _get_sends_per_second(self, bucket: Bucket, now: Millis) -> float:
+        memory_seconds = self._get_memory_ms(bucket) / MILLIS_PER_SECOND
+        return self._decay_sends(bucket, now) / memory_seconds
+
+    def _choose_retry_after_ms(self, bucket: Bucket) -> int:
+        """Return the time until there is a token, spread so that retries do not meet.
+
+        It is at most the window, after which any debt is repaid.
+        """
+        missing = max(0.0, min(1.0, self._get_reserve(bucket)) - bucket.level)
+        wait_ms = MILLIS_PER_SECOND * missing / max(bucket.share, 0.001)
+        spread_ms = max(MIN_SPREAD_MS, wait_ms / 2)
+        chosen_ms = wait_ms + self._random.random() * spread_ms
+        longest_ms = max(MIN_RETRY_AFTER_MS, self._bounds.quota_window_ms)
+        return round(min(max(chosen_ms, MIN_RETRY_AFTER_MS), longest_ms))
+
+    def _get_input_age_ms(self, now: Millis) -> int | None:
+        others = self._fleet.zones - {self._zone}
+        times = [self._zones_heard_at.get(zone) for zone in others]
+        if not times or None in times:
+            return None
+        return now - min(times)
+
+
+def is_current(announced_at: Millis | None, now: Millis) -> bool:
+    """Return whether an announcement of a zone has not expired."""
+    return announced_at is not None and now - announced_at < ANNOUNCEMENT_EXPIRY_MS
--- /dev/null
+++ b/tests/workspaces/fleets.py
@@ -0,0 +1,185 @@
+"""A fleet of quota tables on a manual clock, with late and lost messages between them.
+
+The proxies of a zone report their sends to each other after 50 to 150 ms. Two of them
+announce the zone's rates to the other zones every 500 ms, as `ZoneRateExchange` does.
+"""
+
+import random
+from collections import deque
+
+from damaskdyke.conf.vm import DEFAULT_BOUNDS
+from damaskdyke.core.clock import ManualClock
+from damaskdyke.workspaces.directory import Directory
+from damaskdyke.workspaces.quotas import FleetView, QuotaTable
+from damaskdyke.workspaces.types import Workspace
+
+ZONES = ("a", "b", "c")
+STEP_MS = 5
+TICK_MS = 250
+ANNOUNCEMENT_MS = 500
+REPORT_DELAYS_MS = (50, 150)
+ANNOUNCEMENT_DELAYS_MS = (20, 150)
+START_MS = 1_000_000
+
+
+class QuotaFleet:
+    """Proxies in three zones that admit the requests of workspaces."""
+
+    def __init__(self, zone_proxies, workspaces, seed, loss=0.02, uptime_ms=60_000):
+        self.clock = ManualClock(START_MS)
+        self.random = random.Random(seed)
+        self.zone_proxies = zone_proxies
+        self.loss = loss
+        self.directory = Directory(workspaces)
+        # Whether zones hear from each other.
+        self.is_cut = False
+        self.messages = {}
+        # Times of the requests that ran, by workspace.
+        self.runs = {item.name: [] for item in workspaces}
+        self.asked = dict.fromkeys(self.runs, 0)
+        self.refused = dict.fromkeys(self.runs, 0)
+        self.admissions = []
+        self.tables = []
+        self.restart_all(uptime_ms)
+
+    def restart_all(self, uptime_ms=0):
+        """Replace every process by one without state; messages under way are lost."""
+        now = self.clock.now()
+        self.messages.clear()
+        self.tables = [
+            [self.make_table(zone, now - uptime_ms) for _ in range(self.zone_proxies)]
+            for zone in ZONES
+        ]
+        self.started_at = now - uptime_ms
+        if uptime_ms:
+            self.introduce_all()
+
+    def make_table(self, zone, started_at):
+        table = QuotaTable(
+            DEFAULT_BOUNDS, zone, started_at, random.Random(self.random.random())
+        )
+        table.set_limits(self.directory, self.clock.now())
+        return table
+
+    def introduce_all(self):
+        """Let every proxy know the fleet, as after some seconds of contact."""
+        now = self.clock.now()
+        for zone in self.tables:
+            for table in zone:
+                for other in ZONES:
+                    table.record_zone_heard(other, now)
+                table.set_fleet(self.describe_fleet(), now)
+
+    def describe_fleet(self):
+        is_known = self.clock.now() - self.started_at >= 4_000
+        return FleetView(
+            frozenset(ZONES), self.zone_proxies, self.zone_proxies, is_known
+        )
+
+    def set_workspaces(self, workspaces):
+        self.directory = Directory(workspaces)
+        for zone in self.tables:
+            for table in zone:
+                table.set_limits(self.directory, self.clock.now())
+
+    def run(self, duration_ms, demands):
+        """Let callers ask at random times.
+
+        Each demand is a workspace, its requests a second, and the proxies that get them
+        as pairs of a zone and a proxy, all if there are none.
+        """
+        for _ in range(duration_ms // STEP_MS):
+            self.clock.advance(STEP_MS)
+            now = self.clock.now()
+            self.deliver(now)
+            self.tick(now)
+            for name, per_second, proxies in demands:
+                due = self.random.expovariate(1.0)
+                expected = per_second * STEP_MS / 1_000
+                while due < expected:
+                    self.ask(name, proxies, now)
+                    due += self.random.expovariate(1.0)
+
+    def ask(self, name, proxies, now):
+        if proxies:
+            zone, number = self.random.choice(proxies)
+        else:
+            zone = self.random.randrange(len(ZONES))
+            number = self.random.randrange(self.zone_proxies)
+        table = self.tables[zone][number]
+        admission = table.admit(self.directory.find(name), now)
+        self.asked[name] += 1
+        if not admission.is_allowed:
+            self.refused[name] += 1
+            self.admissions.append(admission)
+            return
+        self.runs[name].append(now)
+        table.record_own_send(name, now)
+        self.send(REPORT_DELAYS_MS, self.report, zone, number, name)
+
+    def report(self, zone, number, name, now):
+        for other, table in enumerate(self.tables[zone]):
+            if other != number and self.random.random() >= self.loss:
+                table.record_peer_send(name, now)
+
+    def tick(self, now):
+        """Let each proxy update its shares and announce rates at its own times."""
+        for zone, tables in enumerate(self.tables):
+            for number, table in enumerate(tables):
+                phase = (
+                    (zone * 167 + number * 37) % ANNOUNCEMENT_MS // STEP_MS * STEP_MS
+                )
+                if (now + phase) % TICK_MS >= STEP_MS:
+                    continue
+                table.set_fleet(self.describe_fleet(), now)
+                rates = table.list_zone_rates(now)
+                has_started = now - self.started_at >= 2_000
+                is_due = (now + phase) % ANNOUNCEMENT_MS < STEP_MS
+                if is_due and number < 2 and has_started and not self.is_cut:
+                    for other in range(len(ZONES)):
+                        if other != zone and self.random.random() >= self.loss:
+                            self.send(
+                                ANNOUNCEMENT_DELAYS_MS,
+                                self.announce,
+                                zone,
+                                other,
+                                rates,
+                            )
+
+    def announce(self, zone, other, rates, now):
+        for table in self.tables[other]:
+            table.record_zone_heard(ZONES[zone], now)
+            for name, per_second in rates:
+                table.record_zone_rate(ZONES[zone], name, per_second, now)
+
+    def send(self, delays_ms, handle, *args):
+        due_at = self.clock.now() + self.random.randrange(*delays_ms)
+        due_at -= due_at % STEP_MS
+        self.messages.setdefault(due_at, []).append((handle, args))
+
+    def deliver(self, now):
+        for handle, args in self.messages.pop(now, ()):
+            handle(*args, now)
+
+
+def compute_bound(workspace, bounds=DEFAULT_BOUNDS):
+    """Return the requests of a workspace that may run in each window."""
+    quota = workspace.rate_per_second * bounds.quota_window_ms / 1_000
+    quota += workspace.burst
+    return quota * (1 + bounds.quota_over) + bounds.quota_slack
+
+
+def find_busiest_window(times, window_ms=DEFAULT_BOUNDS.quota_window_ms):
+    """Return the largest number of runs in any window of this length."""
+    largest = 0
+    recent = deque()
+    for time in times:
+        recent.append(time)
+        while recent[0] <= time - window_ms:
+            recent.popleft()
+        largest = max(largest, len(recent))
+    return largest
+
+
+def make_workspace(name="w", rate=20.0, burst=20.0):
+    return Workspace(name, (f"key-{name}",), None, rate, burst)
