--- a/damaskdyke/workspaces/quotas.py
+++ b/damaskdyke/workspaces/quotas.py
@@ -20,25 +20,31 @@
 from damaskdyke.workspaces.directory import Directory
 from damaskdyke.workspaces.types import Workspace
 
-# Parts of the tolerance (window x rate x over + burst x over + slack) of the fleet. The
-# rest covers sends that proxies do not know of yet: load reports take up to 150 ms, and
-# the rates of other zones up to 1 s.
-CAPACITY_SHARE = 0.35
-# Level of the bucket of a process that has just started.
+# Parts of the fleet's tolerance, (window x rate + burst) x over and slack, that the
+# buckets hold beside the burst. The rest covers sends that proxies do not know of yet,
+# which grow with the rate: load reports take up to 150 ms, and the rates of other zones
+# up to 1 s.
+OVER_CAPACITY_SHARE = 0.35
+SLACK_CAPACITY_SHARE = 0.5
+# Part of the tolerance that the buckets of a zone's processes hold at their start.
 START_SHARE = 0.1
 # Part of the slack that all zones together may run in each window beyond the rate, so
 # that an uneven spread does not refuse requests of a workspace with a small quota.
-REFILL_SHARE = 0.25
+REFILL_SHARE = 0.35
 # Reserve, in time at the zone's share of the rate. Below it, requests are admitted with
 # a probability that falls with the level, as peers may take the same tokens.
 RESERVE_SECONDS = 0.6
 # Largest part of the capacity that is reserve.
 MAX_RESERVE_SHARE = 0.5
+# Least reserve, in tokens. A request takes a whole token: if it were certain to be
+# admitted with a part of one, each of many proxies that do not hear from each other
+# would admit one request of a small quota.
+MIN_RESERVE = 1.0
 # Number of zones that is assumed at least while the fleet is not known yet.
 ASSUMED_ZONES = 3
 # Number of proxies in the zone that is assumed at least meanwhile. Proxies that start
 # together would otherwise each use the zone's whole share until they know each other.
-ASSUMED_ZONE_PROXIES = 12
+ASSUMED_ZONE_PROXIES = 40
 # Age at which an announcement of another zone's rates expires. Two in succession may be
 # lost. With 2,000 ms, a zone that ran the whole rate when the zones lost contact, while
 # the others became busy, took the fleet 12% over the bound.
@@ -48,7 +54,7 @@
 BORROW_DELAY_MS = 1_000
 # Part that is used of what the other zones leave. A zone learns of a loss of contact
 # only when announcements expire, and until then the others may become busy.
-BORROW_SHARE = 0.9
+BORROW_SHARE = 0.8
 # A zone announces a workspace of which another zone announces a rate from this part of
 # the quota on. Otherwise zones just below the usual threshold would run up to a third
 # of the quota without the others knowing.
@@ -346,9 +352,8 @@
             workspace.rate_per_second, workspace.burst, 0.0, 0.0, self._started_at, now
         )
         bucket.share = self._compute_share(name, bucket, now)
-        tolerance = self._compute_tolerance(bucket)
-        level = START_SHARE * tolerance / self._count_zones()
-        bucket.level = level * self._get_zone_part()
+        tolerance = self._compute_over(bucket) + self._bounds.quota_slack
+        bucket.level = self._get_part(START_SHARE * tolerance)
         self._refill(bucket, now)
         self._buckets[name] = bucket
         return bucket
@@ -364,20 +369,25 @@
         per_second = self._get_sends_per_second(bucket, now)
         return is_full and per_second < IDLE_SHARE * bucket.rate
 
-    def _compute_tolerance(self, bucket: Bucket) -> float:
-        """Return the requests beyond rate and burst that the fleet may run a window."""
+    def _compute_over(self, bucket: Bucket) -> float:
+        """Return the tolerance of the fleet in a window that grows with the quota."""
         window_seconds = self._bounds.quota_window_ms / MILLIS_PER_SECOND
         quota = bucket.rate * window_seconds + bucket.burst
-        return quota * self._bounds.quota_over + self._bounds.quota_slack
+        return quota * self._bounds.quota_over
 
     def _compute_capacity(self, bucket: Bucket) -> float:
-        tolerance = self._compute_tolerance(bucket)
-        capacity = bucket.burst + CAPACITY_SHARE * tolerance
-        return capacity * self._get_zone_part() / self._count_zones()
+        capacity = bucket.burst + OVER_CAPACITY_SHARE * self._compute_over(bucket)
+        return self._get_part(
+            capacity + SLACK_CAPACITY_SHARE * self._bounds.quota_slack
+        )
 
     def _get_reserve(self, bucket: Bucket) -> float:
         largest = MAX_RESERVE_SHARE * self._compute_capacity(bucket)
-        return min(RESERVE_SECONDS * bucket.share, largest)
+        return max(MIN_RESERVE, min(RESERVE_SECONDS * bucket.share, largest))
+
+    def _get_part(self, tokens: float) -> float:
+        """Return this proxy's part of tokens that the fleet has."""
+        return tokens * self._get_zone_part() / self._count_zones()
 
     def _get_zone_part(self) -> float:
         """Return the part of the zone that this proxy hears from."""
@@ -412,7 +422,7 @@
             share += BORROW_SHARE * max(0.0, unused)
         window_seconds = self._bounds.quota_window_ms / MILLIS_PER_SECOND
         extra = REFILL_SHARE * self._bounds.quota_slack / (zones * window_seconds)
-        return min(bucket.rate, share + extra) * self._get_zone_part()
+        return (share + extra) * self._get_zone_part()
 
     def _sum_used(self, name: WorkspaceName, bucket: Bucket, now: Millis) -> float:
         """Return the rate that the other zones use, as far as it is known."""
@@ -459,7 +469,7 @@
 
         It is at most the window, after which any debt is repaid.
         """
-        missing = max(0.0, min(1.0, self._get_reserve(bucket)) - bucket.level)
+        missing = max(0.0, MIN_RESERVE - bucket.level)
         wait_ms = MILLIS_PER_SECOND * missing / max(bucket.share, 0.001)
         spread_ms = max(MIN_SPREAD_MS, wait_ms / 2)
         chosen_ms = wait_ms + self._random.random() * spread_ms
--- a/tests/workspaces/fleets.py
+++ b/tests/workspaces/fleets.py
@@ -20,6 +20,11 @@
 REPORT_DELAYS_MS = (50, 150)
 ANNOUNCEMENT_DELAYS_MS = (20, 150)
 START_MS = 1_000_000
+# Proxies that start together hear from each other after this time, and know the size of
+# the fleet after `SIZE_KNOWN_MS`.
+CONTACT_MS = 1_000
+SIZE_KNOWN_MS = 4_000
+COUNTING_MS = 2_000
 
 
 class QuotaFleet:
@@ -68,10 +73,16 @@
             for table in zone:
                 for other in ZONES:
                     table.record_zone_heard(other, now)
-                table.set_fleet(self.describe_fleet(), now)
+                table.set_fleet(self.describe_fleet(None), now)
 
-    def describe_fleet(self):
-        is_known = self.clock.now() - self.started_at >= 4_000
+    @property
+    def is_in_contact(self):
+        return self.clock.now() - self.started_at >= CONTACT_MS
+
+    def describe_fleet(self, zone):
+        if not self.is_in_contact:
+            return FleetView(frozenset({ZONES[zone]}), is_size_known=False)
+        is_known = self.clock.now() - self.started_at >= SIZE_KNOWN_MS
         return FleetView(
             frozenset(ZONES), self.zone_proxies, self.zone_proxies, is_known
         )
@@ -118,6 +129,8 @@
         self.send(REPORT_DELAYS_MS, self.report, zone, number, name)
 
     def report(self, zone, number, name, now):
+        if not self.is_in_contact:
+            return
         for other, table in enumerate(self.tables[zone]):
             if other != number and self.random.random() >= self.loss:
                 table.record_peer_send(name, now)
@@ -131,9 +144,9 @@
                 )
                 if (now + phase) % TICK_MS >= STEP_MS:
                     continue
-                table.set_fleet(self.describe_fleet(), now)
+                table.set_fleet(self.describe_fleet(zone), now)
                 rates = table.list_zone_rates(now)
-                has_started = now - self.started_at >= 2_000
+                has_started = now - self.started_at >= COUNTING_MS
                 is_due = (now + phase) % ANNOUNCEMENT_MS < STEP_MS
                 if is_due and number < 2 and has_started and not self.is_cut:
                     for other in range(len(ZONES)):
