--- a/damaskdyke/workspaces/quotas.py
+++ b/damaskdyke/workspaces/quotas.py
@@ -27,19 +27,20 @@
 OVER_CAPACITY_SHARE = 0.35
 SLACK_CAPACITY_SHARE = 0.5
 # Part of the tolerance that the buckets of a zone's processes hold at their start.
-START_SHARE = 0.1
+START_SHARE = 0.05
 # Part of the slack that all zones together may run in each window beyond the rate, so
 # that an uneven spread does not refuse requests of a workspace with a small quota.
-REFILL_SHARE = 0.35
+REFILL_SHARE = 0.2
 # Reserve, in time at the zone's share of the rate. Below it, requests are admitted with
 # a probability that falls with the level, as peers may take the same tokens.
 RESERVE_SECONDS = 0.6
 # Largest part of the capacity that is reserve.
 MAX_RESERVE_SHARE = 0.5
-# Least reserve, in tokens. A request takes a whole token: if it were certain to be
-# admitted with a part of one, each of many proxies that do not hear from each other
-# would admit one request of a small quota.
-MIN_RESERVE = 1.0
+# Least reserve in tokens of a proxy that hears from no other one of its zone, less by
+# the part of the zone that it hears from. A request takes a whole token: if it were
+# certain to be admitted with a part of one, each of many such proxies would admit one
+# request of a small quota.
+ALONE_RESERVE = 1.0
 # Number of zones that is assumed at least while the fleet is not known yet.
 ASSUMED_ZONES = 3
 # Number of proxies in the zone that is assumed at least meanwhile. Proxies that start
@@ -61,6 +62,9 @@
 CONTESTED_SHARE = 0.02
 # Lower rates are not announced: each request of a small quota would be.
 MIN_ANNOUNCED_PER_SECOND = 0.2
+# Part of the threshold below which a workspace is no longer announced. The rate of a
+# small quota varies by more than a half between its sends.
+KEPT_ANNOUNCEMENT_SHARE = 0.25
 # Time constant of the rate of sends. It covers some sends of a small quota.
 MIN_RATE_MEMORY_MS = 600
 MAX_RATE_MEMORY_MS = 3_000
@@ -319,7 +323,10 @@
             threshold = bucket.rate / (2 * self._count_zones())
             if self._zone_rates.get(name):
                 threshold = CONTESTED_SHARE * bucket.rate
-            if per_second <= max(threshold, MIN_ANNOUNCED_PER_SECOND):
+            threshold = max(threshold, MIN_ANNOUNCED_PER_SECOND)
+            if bucket.announced_since is not None:
+                threshold *= KEPT_ANNOUNCEMENT_SHARE
+            if per_second <= threshold:
                 bucket.announced_since = None
                 continue
             if bucket.announced_since is None:
@@ -383,7 +390,8 @@
 
     def _get_reserve(self, bucket: Bucket) -> float:
         largest = MAX_RESERVE_SHARE * self._compute_capacity(bucket)
-        return max(MIN_RESERVE, min(RESERVE_SECONDS * bucket.share, largest))
+        least = ALONE_RESERVE * (1 - self._get_zone_part())
+        return max(least, min(RESERVE_SECONDS * bucket.share, largest))
 
     def _get_part(self, tokens: float) -> float:
         """Return this proxy's part of tokens that the fleet has."""
@@ -469,7 +477,7 @@
 
         It is at most the window, after which any debt is repaid.
         """
-        missing = max(0.0, MIN_RESERVE - bucket.level)
+        missing = max(0.0, 1.0 - bucket.level)
         wait_ms = MILLIS_PER_SECOND * missing / max(bucket.share, 0.001)
         spread_ms = max(MIN_SPREAD_MS, wait_ms / 2)
         chosen_ms = wait_ms + self._random.random() * spread_ms
--- a/tests/workspaces/fleets.py
+++ b/tests/workspaces/fleets.py
@@ -33,6 +33,7 @@
     def __init__(self, zone_proxies, workspaces, seed, loss=0.02, uptime_ms=60_000):
         self.clock = ManualClock(START_MS)
         self.random = random.Random(seed)
+        self.seed = seed
         self.zone_proxies = zone_proxies
         self.loss = loss
         self.directory = Directory(workspaces)
@@ -47,6 +48,12 @@
         self.tables = []
         self.restart_all(uptime_ms)
 
+    def describe(self):
+        limits = [
+            (item.rate_per_second, item.burst) for item in self.directory.list_all()
+        ]
+        return f"{self.zone_proxies} proxies a zone, limits {limits}, seed {self.seed}"
+
     def restart_all(self, uptime_ms=0):
         """Replace every process by one without state; messages under way are lost."""
         now = self.clock.now()
