--- /dev/null
+++ b/tests/gateway/test_quotas.py
@@ -0,0 +1,144 @@
+"""Tests that the gateway counts, admits and refuses requests of workspaces."""
+
+import dataclasses
+
+from damaskdyke.catalogue.catalogue import build_catalogue
+from damaskdyke.catalogue.types import CallerLimits, Rules, Service
+from damaskdyke.core.ids import RequestId
+from damaskdyke.dispatch.outcomes import Outcome, SendKind
+from damaskdyke.dispatch.selection import SelectionCriteria
+from damaskdyke.fleet.reports import LoadReport
+from damaskdyke.gateway.application import Application
+from damaskdyke.gateway.callers import CallerWatch
+from damaskdyke.gateway.instruments import (
+    MAX_COUNTED_WORKSPACES,
+    OTHER_WORKSPACES,
+    Instruments,
+)
+from damaskdyke.gateway.messages import AnswerKind, CallerRequest
+from damaskdyke.platform.headers import HEADERS
+from damaskdyke.upstreams.messages import Header
+from damaskdyke.workspaces.directory import Directory
+from damaskdyke.workspaces.quotas import FleetView
+from damaskdyke.workspaces.types import Workspace
+from tests.gateway.cases import GatewayCase, make_route
+
+LIMITED = Workspace("limited", ("k1",), None, 1.0, 1.0)
+UNLIMITED = Workspace("unlimited", ("k2",))
+CRITERIA = SelectionCriteria(may_retry=False, is_urgent=True, workspace="limited")
+
+
+class QuotaCase(GatewayCase):
+    def setUp(self):
+        super().setUp()
+        services = {"desk": Service("desk", "/healthz", 100)}
+        directory = Directory([LIMITED, UNLIMITED])
+        rules = Rules(1, (make_route(),), services, CallerLimits(), directory)
+        instances = {item.name: item.describe() for item in self.instances}
+        self.view = build_catalogue(1, rules, instances)
+        self.dispatcher.apply_view(self.view)
+        self.dispatcher.update_quotas(FleetView(frozenset({"a"})))
+        self.instruments = Instruments()
+        self.application = Application(
+            self.dispatcher,
+            self.pool,
+            HEADERS,
+            self.instruments,
+            self.clock,
+            lambda: self.view,
+            lambda: True,
+            lambda: 1,
+        )
+
+    def ask(self, key):
+        request = CallerRequest(
+            RequestId("q"),
+            "GET",
+            "/p/x",
+            "h.example",
+            [Header("Host", "h.example"), Header(HEADERS.request_id, "q")],
+            b"",
+            1_000,
+            self.clock.now(),
+            key,
+        )
+        return self.application.answer(request, CallerWatch(self.caller))
+
+    def read_level(self):
+        return self.dispatcher.admit(LIMITED).level
+
+    def report_sends(self, count, upstream=None, is_same_zone=True):
+        report = LoadReport(
+            upstream or self.instances[0].name,
+            1,
+            0,
+            Outcome.PENDING,
+            0,
+            SendKind.FIRST,
+            workspace="limited",
+        )
+        self.dispatcher.apply_reports("10.0.0.9", is_same_zone, [report] * count)
+
+
+class AnswerTest(QuotaCase):
+    def test_request_over_the_quota_gets_429_and_is_not_sent(self):
+        # Requests of one workspace displaced those of the others.
+        self.report_sends(50)
+        answer = self.ask("k1")
+        self.assertEqual((answer.status, answer.kind), (429, AnswerKind.OVER_QUOTA))
+        self.assertGreater(answer.retry_after_ms, 0)
+        self.assertEqual(self.upstream.connections, 0)
+        self.assertEqual(self.instruments.over_quota_counts, {"limited": 1})
+
+    def test_other_workspaces_are_served(self):
+        self.report_sends(50)
+        self.assertEqual(self.ask("k2").status, 200)
+
+    def test_line_of_the_log_has_the_inputs(self):
+        self.report_sends(50)
+        with self.assertLogs("damaskdyke.gateway", "WARNING") as logs:
+            self.ask("k1")
+        for field in ("over-quota", "workspace=limited", "tokens=", "rate="):
+            self.assertIn(field, logs.output[0])
+
+    def test_quota_used_up_during_a_wait_gets_429(self):
+        # Requests that waited for a slot were sent however little was left.
+        forwarder = self.make_forwarder(make_route())
+        forwarder._workspace = LIMITED
+        forwarder.admission = self.dispatcher.admit(LIMITED)
+        self.assertTrue(forwarder.admission.is_allowed)
+        self.report_sends(50)
+        answer = forwarder.run()
+        self.assertEqual(answer.status, 429)
+        self.assertEqual(self.upstream.connections, 0)
+
+
+class CountTest(QuotaCase):
+    def test_only_the_first_send_of_a_request_counts(self):
+        # Retries, hedges and attempts without a connection used the quota up.
+        level = self.read_level()
+        extra = dataclasses.replace(CRITERIA, is_extra=True)
+        again = dataclasses.replace(CRITERIA, is_counted=False)
+        for criteria in (extra, again):
+            self.dispatcher.begin_send("desk", criteria)
+        self.assertAlmostEqual(self.read_level(), level, delta=0.2)
+        self.dispatcher.begin_send("desk", CRITERIA)
+        self.assertAlmostEqual(self.read_level(), level - 1, delta=0.2)
+        names = [report.workspace for report in self.gossip.reports]
+        self.assertEqual(names, [None, None, "limited"])
+
+    def test_reports_of_the_zone_count_also_for_unknown_upstreams(self):
+        # The catalogues of two proxies differ for a moment after each change.
+        level = self.read_level()
+        self.report_sends(1)
+        self.report_sends(1, upstream="unknown")
+        self.report_sends(1, is_same_zone=False)
+        self.assertAlmostEqual(self.read_level(), level - 2, delta=0.2)
+
+    def test_counters_are_bounded(self):
+        # There may be hundreds of thousands of workspaces.
+        for number in range(MAX_COUNTED_WORKSPACES + 5):
+            self.instruments.record_over_quota(f"w{number}")
+        counts = self.instruments.over_quota_counts
+        self.assertEqual(len(counts), MAX_COUNTED_WORKSPACES + 1)
+        self.assertEqual(counts[OTHER_WORKSPACES], 5)
