--- a/tests/workspaces/fleets.py
+++ b/tests/workspaces/fleets.py
@@ -15,7 +15,7 @@
 
 ZONES = ("a", "b", "c")
 STEP_MS = 5
-TICK_MS = 250
+UPDATE_MS = 250
 ANNOUNCEMENT_MS = 500
 REPORT_DELAYS_MS = (50, 150)
 ANNOUNCEMENT_DELAYS_MS = (20, 150)
@@ -45,6 +45,7 @@
         self.asked = dict.fromkeys(self.runs, 0)
         self.refused = dict.fromkeys(self.runs, 0)
         self.admissions = []
+        self.updates = self.schedule_updates()
         self.tables = []
         self.restart_all(uptime_ms)
 
@@ -143,28 +144,32 @@
                 table.record_peer_send(name, now)
 
     def tick(self, now):
-        """Let each proxy update its shares and announce rates at its own times."""
-        for zone, tables in enumerate(self.tables):
-            for number, table in enumerate(tables):
-                phase = (
-                    (zone * 167 + number * 37) % ANNOUNCEMENT_MS // STEP_MS * STEP_MS
-                )
-                if (now + phase) % TICK_MS >= STEP_MS:
-                    continue
-                table.set_fleet(self.describe_fleet(zone), now)
-                rates = table.list_zone_rates(now)
-                has_started = now - self.started_at >= COUNTING_MS
-                is_due = (now + phase) % ANNOUNCEMENT_MS < STEP_MS
-                if is_due and number < 2 and has_started and not self.is_cut:
-                    for other in range(len(ZONES)):
-                        if other != zone and self.random.random() >= self.loss:
-                            self.send(
-                                ANNOUNCEMENT_DELAYS_MS,
-                                self.announce,
-                                zone,
-                                other,
-                                rates,
-                            )
+        """Let proxies whose time has come update their shares and announce rates."""
+        for zone, number, is_due in self.updates.get(now % ANNOUNCEMENT_MS, ()):
+            table = self.tables[zone][number]
+            table.set_fleet(self.describe_fleet(zone), now)
+            rates = table.list_zone_rates(now)
+            has_started = now - self.started_at >= COUNTING_MS
+            if number >= 2 or not is_due or not has_started or self.is_cut:
+                continue
+            for other in range(len(ZONES)):
+                if other != zone and self.random.random() >= self.loss:
+                    delays_ms = ANNOUNCEMENT_DELAYS_MS
+                    self.send(delays_ms, self.announce, zone, other, rates)
+
+    def schedule_updates(self):
+        """Return the proxies that update at each time of an interval, by that time.
+
+        Each announces at the first of its two times, if it is an announcer.
+        """
+        updates = {}
+        for zone in range(len(ZONES)):
+            for number in range(self.zone_proxies):
+                phase = (zone * 167 + number * 37) // STEP_MS * STEP_MS
+                for offset in (0, UPDATE_MS):
+                    time = (phase + offset) % ANNOUNCEMENT_MS
+                    updates.setdefault(time, []).append((zone, number, not offset))
+        return updates
 
     def announce(self, zone, other, rates, now):
         for table in self.tables[other]:
