--- a/tests/workspaces/test_quotas.py
+++ b/tests/workspaces/test_quotas.py
@@ -9,7 +9,13 @@
 
 from damaskdyke.conf.vm import DEFAULT_BOUNDS
 from damaskdyke.workspaces.directory import Directory
-from damaskdyke.workspaces.quotas import FleetView, QuotaTable
+from damaskdyke.workspaces.quotas import (
+    MAX_RESERVE_SHARE,
+    REFILL_SHARE,
+    RESERVE_SECONDS,
+    FleetView,
+    QuotaTable,
+)
 from damaskdyke.workspaces.types import Workspace
 from tests.workspaces.fleets import (
     SIZE_KNOWN_MS,
@@ -88,14 +94,17 @@
             fleet.run(7_000, [("w", HOT * rate, ())])
             self.check_bound(fleet, workspace)
 
-    def test_zones_just_below_the_threshold_of_announcements(self):
-        # Rates that were never announced added up to a third of the quota.
+    def test_zones_below_the_threshold_of_announcements(self):
+        # What they run was never announced, and the busy zone used it as well.
         for fleet, workspace in self.each_fleet(((20, 20), (100, 0))):
             rate = workspace.rate_per_second
             quiet = [(zone, n) for zone in (1, 2) for n in range(fleet.zone_proxies)]
-            demands = [("w", HOT * rate, [(0, 0)]), ("w", 0.32 * rate, quiet)]
-            fleet.run(14_000, demands)
+            fleet.run(14_000, [("w", HOT * rate, [(0, 0)]), ("w", 0.24 * rate, quiet)])
             self.check_bound(fleet, workspace)
+            since = fleet.clock.now() - 8_000
+            runs = sum(1 for time in fleet.runs["w"] if time > since)
+            slack = REFILL_SHARE * DEFAULT_BOUNDS.quota_slack / 5
+            self.assertLess(runs / 8, 1.02 * rate + slack, fleet.describe())
 
     def test_tenth_of_the_reports_lost(self):
         # Lost reports make the counts too low.
@@ -266,6 +275,19 @@
             self.table.admit(self.workspace, self.now)
         self.assertEqual(self.table.admit(self.workspace, self.now).level, level)
 
+    def test_fewer_requests_are_admitted_the_lower_the_level(self):
+        # All proxies of the zone took the same last tokens at the same moment.
+        full = self.table.admit(self.workspace, self.now)
+        reserve = min(RESERVE_SECONDS * full.per_second, MAX_RESERVE_SHARE * full.level)
+        for _ in range(round(full.level - reserve / 2)):
+            self.table.record_peer_send("w", self.now)
+        level = self.table.admit(self.workspace, self.now).level
+        allowed = sum(
+            self.table.admit(self.workspace, self.now).is_allowed for _ in range(2_000)
+        )
+        self.assertAlmostEqual(allowed / 2_000, level / reserve, delta=0.05)
+        self.assertLess(level / reserve, 0.7)
+
     def test_delayed_request_is_refused_once_peers_have_used_the_quota(self):
         # Requests that waited together were all sent, however few tokens were left.
         admission = self.table.admit(self.workspace, self.now)
