--- a/damaskdyke/workspaces/quotas.py
+++ b/damaskdyke/workspaces/quotas.py
@@ -337,6 +337,8 @@
     # Buckets.
 
     def _record_send(self, name: WorkspaceName, now: Millis) -> None:
+        if not self.has_limits:
+            return
         bucket = self._get_bucket(name, now)
         if bucket is None:
             return
@@ -372,9 +374,9 @@
         bucket.updated_at = now
 
     def _is_idle(self, bucket: Bucket, now: Millis) -> bool:
-        is_full = bucket.level >= self._compute_capacity(bucket)
-        per_second = self._get_sends_per_second(bucket, now)
-        return is_full and per_second < IDLE_SHARE * bucket.rate
+        if bucket.level < self._compute_capacity(bucket):
+            return False
+        return self._get_sends_per_second(bucket, now) < IDLE_SHARE * bucket.rate
 
     def _compute_over(self, bucket: Bucket) -> float:
         """Return the tolerance of the fleet in a window that grows with the quota."""
