--- a/damaskdyke/workspaces/directory.py
+++ b/damaskdyke/workspaces/directory.py
@@ -24,6 +24,8 @@
         Names of workspaces that were left out because an earlier one has the name.
     shared_key_count : int
         Number of keys that several workspaces list.
+    priorities : frozenset of (int or None)
+        Priorities of the workspaces, ``None`` for those without one.
     """
 
     def __init__(self, workspaces: Iterable[Workspace]):
@@ -44,6 +46,7 @@
             del self._by_key[key]
         self.repeated_names = tuple(repeated_names)
         self.shared_key_count = len(shared_keys)
+        self.priorities = frozenset(item.priority for item in self._by_name.values())
 
     def __len__(self) -> int:
         return len(self._by_name)
