--- a/tests/workspaces/test_fairness.py
+++ b/tests/workspaces/test_fairness.py
@@ -5,6 +5,7 @@
 import math
 import random
 import unittest
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -18,14 +19,20 @@
     Service,
 )
 from damaskdyke.core.clock import ManualClock
+from damaskdyke.core.ids import RequestId
 from damaskdyke.dispatch.outcomes import Outcome, SendKind
 from damaskdyke.dispatch.selection import SelectionCriteria
 from damaskdyke.dispatch.waiting import WaitQueue
 from damaskdyke.fleet.reports import LoadReport
+from damaskdyke.gateway.application import Application
+from damaskdyke.gateway.callers import CallerWatch
 from damaskdyke.gateway.dispatcher import Dispatcher, Waiter
-from damaskdyke.gateway.messages import AnswerKind
+from damaskdyke.gateway.instruments import Instruments
+from damaskdyke.gateway.messages import AnswerKind, CallerRequest
+from damaskdyke.platform.headers import HEADERS
 from damaskdyke.testbed.replay.patterns import patterns
 from damaskdyke.testbed.replay.player import Policy, Replay
+from damaskdyke.upstreams.messages import Header
 from damaskdyke.workspaces import fairness
 from damaskdyke.workspaces.directory import Directory
 from damaskdyke.workspaces.fairness import (
@@ -469,6 +476,32 @@
         self.assertTrue(small.event.is_set())
         self.assertIsNotNone(self.begin_queued(small))
 
+    def test_new_request_does_not_wait_behind_those_that_may_not_take_a_slot(self):
+        self.hear("urgent", 40)
+        self.hear("urgent2", 1)
+        self.fill()
+        self.queue("urgent", make_rank(1, 0))
+        rank = make_rank(1, 1)
+        ahead = [
+            self.dispatcher.has_queued_ahead("desk", rank, "small", is_urgent)
+            for is_urgent in (True, False)
+        ]
+        self.assertEqual(ahead, [False, True])
+        self.queue("urgent2", make_rank(1, 0))
+        self.assertTrue(self.dispatcher.has_queued_ahead("desk", rank, "small", True))
+
+    def test_turn_changes_with_what_peers_send(self):
+        self.hear("b", 1)
+        self.fill()
+        waiters = {name: self.queue(name) for name in ("b", "a")}
+        self.hear("a", 2)
+        for choice in self.fill():
+            self.dispatcher.end_send(choice.instance, Outcome.GOOD, 100)
+        report = LoadReport("u1", 1, 0, Outcome.GOOD, 100)
+        self.dispatcher.apply_reports("10.0.0.9", True, [report])
+        self.assertTrue(waiters["b"].event.is_set())
+        self.assertIsNone(self.begin_queued(waiters["a"]))
+
     def test_plan_counts_who_is_ahead_in_the_new_order(self):
         self.hear("urgent", 40)
         for _ in range(30):
@@ -549,18 +582,86 @@
             queue.remove(order[-1])
         self.assertEqual(order, [1, 4, 3, 0, 2])
 
-    def test_refusal_of_a_workspace_says_its_use_and_the_fair_share(self):
-        route = make_route()
-        forwarder = self.make_forwarder(route, deadline_ms=400)
-        forwarder._workspace = Workspace("w", ())
-        for _ in range(6):
-            criteria = SelectionCriteria(False, True, workspace="other")
+
+class ForwardedGuaranteeTest(GatewayCase):
+    """Three of the four slots are in use, and the last one is for urgent requests."""
+
+    def setUp(self):
+        super().setUp()
+        criteria = SelectionCriteria(False, True, workspace="other")
+        for _ in range(3):
             self.dispatcher.begin_send("desk", criteria)
-        answer = forwarder.run()
-        self.assertEqual(answer.kind, AnswerKind.REFUSED)
-        self.assertEqual(forwarder.share_state.use_ms, 0)
-        self.assertGreater(forwarder.share_state.fair_share_ms, 0)
+            self.dispatcher.record_result("desk", RANK, "other", True)
+
+    def ask(self, deadline_ms):
+        forwarder = self.make_forwarder(
+            make_route(), deadline_ms=deadline_ms, workspace=Workspace("w", ())
+        )
+        return forwarder.run()
+
+    def test_refused_workspace_gets_a_reserved_slot_in_the_end(self):
+        kinds = [self.ask(deadline_ms=150).kind for _ in range(20)]
+        self.assertEqual(kinds[0], AnswerKind.REFUSED)
+        self.assertIn(AnswerKind.REPLY, kinds)
+
+    def test_request_waits_as_one_of_its_workspace(self):
+        with patch.object(
+            self.dispatcher, "enqueue", wraps=self.dispatcher.enqueue
+        ) as enqueue:
+            self.ask(deadline_ms=1_000)
+        waiter = enqueue.call_args.args[1]
+        self.assertEqual(waiter.workspace, "w")
+        self.assertEqual((waiter.rank, waiter.is_urgent), (make_rank(2), False))
+
+
+class RefusalLogTest(GatewayCase):
+    """Operators must see from the log why a workspace was refused."""
+
+    def setUp(self):
+        super().setUp()
+        services = {"desk": Service("desk", "/healthz", 100)}
+        directory = Directory([Workspace("w1", ("k1",)), Workspace("w2", ("k2",))])
+        rules = Rules(1, (make_route(),), services, CallerLimits(), directory)
+        instances = {item.name: item.describe() for item in self.instances}
+        self.view = build_catalogue(1, rules, instances)
+        self.application = Application(
+            self.dispatcher,
+            self.pool,
+            HEADERS,
+            Instruments(),
+            self.clock,
+            lambda: self.view,
+            lambda: True,
+            lambda: 1,
+        )
+
+    def test_refusal_names_the_workspace_its_use_and_the_fair_share(self):
+        criteria = SelectionCriteria(False, True, workspace="w2")
+        while self.dispatcher.begin_send("desk", criteria) is not None:
+            pass
+        headers = [Header("Host", "h.example"), Header(HEADERS.request_id, "q")]
+        request = CallerRequest(
+            RequestId("q"),
+            "GET",
+            "/p/x",
+            "h.example",
+            headers,
+            b"",
+            400,
+            self.clock.now(),
+            "k1",
+        )
+        for _ in range(4):
+            self.dispatcher.enqueue("desk", Waiter(make_rank(0, 0), "w2", True))
+        with self.assertLogs("damaskdyke.gateway", logging.WARNING) as caught:
+            answer = self.application.answer(request, CallerWatch(self.caller))
+        self.assertEqual(answer.status, 503)
         self.assertGreater(answer.retry_after_ms, 0)
+        fields = caught.records[-1].fields
+        self.assertEqual(fields["workspace"], "w1")
+        self.assertIn(fields["reason"], ("no-room", "waited"))
+        self.assertEqual(fields["use_ms"], 0)
+        self.assertGreater(fields["fair_share_ms"], 0)
 
 
 if __name__ == "__main__":
