--- a/tools/run_models.py
+++ b/tools/run_models.py
@@ -1,7 +1,8 @@
 """Checks the Promela models with spin.
 
 Each model must hold, and spin must find an error in every variant of it in which a
-``BROKEN_`` macro removes one rule.
+``BROKEN_`` macro removes one rule, or in which a ``REACHED_`` macro asserts that a step
+which must be possible never happens.
 """
 
 import re
@@ -18,7 +19,7 @@
 MAX_SEARCH_DEPTH = 1_000_000
 MEMORY_LIMIT_MB = 2_500
 MAX_PARALLEL_RUNS = 4
-VARIANT = re.compile(r"BROKEN_\w+")
+VARIANT = re.compile(r"(?:BROKEN|REACHED)_\w+")
 STATES = re.compile(r"(\d+(?:\.\d+e[+-]?\d+)?) states, stored")
 ERRORS = re.compile(r"errors: (\d+)")
 
@@ -43,7 +44,7 @@
 
 
 def list_variants(model: Path) -> list[str]:
-    """Return the names of the broken variants of a model, sorted."""
+    """Return the names of the variants of a model that spin must refute, sorted."""
     return sorted(set(VARIANT.findall(model.read_text())))
 
 
