--- a/damaskdyke/fleet/zone_rates.py
+++ b/damaskdyke/fleet/zone_rates.py
@@ -27,6 +27,9 @@
 # A proxy that has just started has not counted what its zone runs, so it announces
 # nothing and its zone counts as using its equal part.
 COUNTING_MS = 2_000
+# Time after the start in which the proxies of a zone hear from each other. Until then
+# a large zone is assumed.
+CONTACT_MS = 1_500
 # Entries that fit into one datagram below the usual limit of a packet.
 RATES_PER_DATAGRAM = 40
 # The largest size of the zone counts for this long after proxies were lost, as they may
@@ -95,7 +98,7 @@
             frozenset({self._gossip.zone, *other_zones}),
             size,
             expected,
-            self._gossip.is_size_known or not self._gossip.has_other_seeds,
+            self._is_zone_known(len(zone), now),
         )
         rates = self._quotas.update_quotas(fleet)
         self._updates += 1
@@ -122,6 +125,12 @@
         if not announcement.is_relayed:
             self._gossip.relay_zone_rates(announcement)
 
+    def _is_zone_known(self, other_proxies: int, now: Millis) -> bool:
+        """Return whether the known members are likely to be all of the zone."""
+        if not self._gossip.has_other_seeds:
+            return True
+        return other_proxies > 0 and now - self._started_at >= CONTACT_MS
+
     def _run(self) -> None:
         while not self._stopping.wait(UPDATE_MS / 1_000):
             self.update()
