--- a/tests/workspaces/test_fairness.py
+++ b/tests/workspaces/test_fairness.py
@@ -494,6 +494,7 @@
         self.hear("b", 1)
         self.fill()
         waiters = {name: self.queue(name) for name in ("b", "a")}
+        self.assertIsNone(self.begin_queued(waiters["b"]))
         self.hear("a", 2)
         for choice in self.fill():
             self.dispatcher.end_send(choice.instance, Outcome.GOOD, 100)
