--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -2,6 +2,7 @@
 import random
 import socket
 import unittest
+import zlib
 from unittest import mock
 
 from damaskdyke.catalogue.state import CatalogueState
@@ -9,6 +10,11 @@
 from damaskdyke.core.clock import Clock
 from damaskdyke.fleet.gen.fleet.Relay import Processor
 from damaskdyke.fleet.gen.fleet.ttypes import ViewChange, ViewPart
+from damaskdyke.fleet.messages import (
+    MAX_VALUE_BYTES,
+    DatagramError,
+    compress_value,
+)
 from damaskdyke.fleet.relay import RelayClient, RelayError, RelayHandler, decode_part
 from damaskdyke.peers.server import PeerServer
 from damaskdyke.peers.traffic import Traffic
@@ -44,6 +50,26 @@
         self.assertEqual([change.key for change in changes], ["k"])
         self.assertEqual((is_whole, revision), (True, 3))
 
+    def test_large_value_arrives_whole_and_crosses_the_link_compressed(self):
+        # All proxies of a zone fetch a configuration at once from one reader.
+        value = b'{"name": "w", "api_keys": []}' * 5_000
+        self.state.apply([Change("k", 4, value)], 4)
+        traffic = Traffic()
+        self.client = RelayClient(self.port, traffic)
+        self.serve(RelayHandler(self.state))
+        changes, _, revision = self.client.fetch("127.0.0.1", 3)
+        self.assertEqual((changes, revision), ([Change("k", 4, value)], 4))
+        self.assertLess(traffic.received, len(value) / 5)
+
+    def test_damaged_compressed_value_is_an_error_of_the_relay(self):
+        whole = compress_value(b"x" * 5_000)
+        too_large = zlib.compress(bytes(2 * MAX_VALUE_BYTES))
+        for value in (b"", b"x" * 100, whole[:-1], too_large):
+            with self.subTest(value=value[:20]):
+                change = ViewChange("k", 4, value, False, False, True)
+                with self.assertRaises(DatagramError):
+                    decode_part(ViewPart([change], False, 4))
+
     def test_answer_with_a_damaged_part_is_an_error_of_the_relay(self):
         change = ViewChange("k", 1, b"", False, False)
         for part in (
