Bound the memory of bodies and the connections of callers

Cause: the bodies of requests had no common limit, each was held up to three times while it was read, replies that were written had none, and callers could take every descriptor.

Change: one budget a process, from memory_mb, of which each body takes its memory before it is read. A body waits for memory, is then refused (503, not run), and callers without progress give way. Bodies are read into mappings of their own. At the limit on callers' connections, idle ones give way to new ones. The framing of a body in chunks no longer counts as part of it.

--- a/damaskdyke/gateway/callers.py
+++ b/damaskdyke/gateway/callers.py
@@ -1,5 +1,6 @@
 """Connections of callers: reading with a time limit, requests ahead, departures."""
 
+import contextlib
 import socket
 import threading
 from collections.abc import Callable
@@ -8,6 +9,7 @@
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 
 from damaskdyke.core.clock import Clock, Millis
+from damaskdyke.gateway.memory import MemoryHold
 from damaskdyke.gateway.pipeline import Pipeline
 from damaskdyke.utils.polling import is_hung_up, is_readable
 from damaskdyke.utils.sockets import TimedSocketIO
@@ -17,6 +19,11 @@
 # Bytes of a request beyond its head and body: the library's read-ahead, and the framing
 # of a body in chunks.
 FRAMING_BYTES = 1_048_576
+# A body is written in pieces of this size, since the writer keeps a copy of each.
+WRITE_BYTES = 64 * 1024
+# Limits on what is read and dropped after a refusal.
+DISCARD_MS = 1_000
+MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 
 
 class CallerDisconnected(Exception):
@@ -130,12 +137,10 @@
         expectation = headers.pop(b"Expect", b"")
         self._expects_continue = expectation.lower() == b"100-continue"
 
-    def read_request_headers(self) -> bool:
-        """Read the header and ask for the body if the caller waits for that."""
-        is_valid = super().read_request_headers()
-        if is_valid and self._expects_continue and self.wait_turn():
+    def send_continue(self) -> None:
+        """Ask for the body if the caller waits for that."""
+        if self._expects_continue and self.wait_turn():
             self.conn.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        return is_valid
 
     def parse_request(self) -> None:
         """Read the head; one that ends before it begins is a departure."""
@@ -189,6 +194,17 @@
         self._lock = threading.Lock()
         self._threads = 1
         self.start_reader: Callable[[CallerConnection], object] = lambda _: None
+        # Counts a reader if there may be one more, and one that was not started.
+        self.may_start_reader: Callable[[], bool] = lambda: True
+        self.on_reader_refused: Callable[[], object] = lambda: None
+        self.on_close: Callable[[CallerConnection], object] = lambda _: None
+        # Since when the caller has sent no whole request, ``None`` while one is
+        # handled; and whether part of one is there.
+        self.quiet_since: Millis | None = clock.now()
+        self.has_partial_request = False
+        # Memory of the body that is being read, and of the reply being written.
+        self.reading_hold: MemoryHold | None = None
+        self.writing_hold: MemoryHold | None = None
 
     def _make_file(self, sock: socket.socket, mode: str, buffer_size: int):
         made = MakeFile(sock, mode, buffer_size)
@@ -202,20 +218,85 @@
         now = self._clock.now()
         self.arrived_at = now if self._unread_since is None else self._unread_since
         self._unread_since = None
+        self.quiet_since = now
+        self.has_partial_request = True
         self.limit_read(read_timeout_ms)
         number = self.pipeline.begin()
         if number is not None:
             self.reading_number = number
         return number
 
-    def limit_read(self, timeout_ms: int) -> None:
-        """Set the time limit for the part of a request that is read next."""
+    def limit_read(
+        self, timeout_ms: int, check: Callable[[], None] | None = None
+    ) -> None:
+        """Set the time limit for the part of a request that is read next.
+
+        ``check`` is called while bytes are awaited and may raise to end the read.
+        """
         max_bytes = self.server.max_request_header_size
         max_bytes += self.server.max_request_body_size + FRAMING_BYTES
-        self._raw_reader.start_message(timeout_ms, max_bytes)
+        self._raw_reader.start_message(timeout_ms, max_bytes, check)
+
+    def read_into(self, buffer: memoryview) -> int:
+        """Read what has arrived, at least a byte; return its size, 0 at the end."""
+        if not self.rfile.has_data():
+            return self._raw_reader.readinto(buffer)
+        data = self.rfile.read1(len(buffer))
+        buffer[: len(data)] = data
+        return len(data)
+
+    def write_in_pieces(self, data: bytes | memoryview) -> None:
+        """Write a body without a second copy of it, which the library would make."""
+        with memoryview(data) as view:
+            for start in range(0, len(view), WRITE_BYTES):
+                piece = view[start : start + WRITE_BYTES]
+                self.wfile.write(piece)
+                if self.writing_hold is not None:
+                    self.writing_hold.record_progress(len(piece))
+
+    def await_request(self) -> None:
+        """Record that no request is there."""
+        self.quiet_since = self._clock.now()
+        self.has_partial_request = False
+
+    def get_quiet_ms(self, now: Millis) -> int:
+        """Return for how long the caller has kept the connection without progress.
+
+        It is 0 while a request is handled.
+        """
+        if self.quiet_since is None:
+            holds = (self.reading_hold, self.writing_hold)
+            return max(0 if x is None else x.get_stalled_ms(now) for x in holds)
+        in_flight = self.pipeline.count_in_flight() - self.has_partial_request
+        return 0 if in_flight else now - self.quiet_since
+
+    def has_request(self) -> bool:
+        """Return whether a request, or a part of one, is there."""
+        return self.quiet_since is None or self.has_partial_request
+
+    def evict(self) -> None:
+        """End the connection; requests that are not passed on yet never are."""
+        self.pipeline.mark_caller_gone()
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+    def discard_input(self) -> None:
+        """Drop what the caller still sends after its last answer, for a short time.
+
+        The system would otherwise reset the connection, and the caller might lose the
+        answer.
+        """
+        buffer = bytearray(WRITE_BYTES)
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            self._raw_reader.start_message(DISCARD_MS, MAX_DISCARDED_BYTES)
+            while self._raw_reader.readinto(buffer):
+                pass
 
     def end_reading(self) -> None:
         """Give the reading role up, as the present request was read whole."""
+        self.quiet_since = None
+        self.has_partial_request = False
         if self.rfile.has_data():
             self._unread_since = self._clock.now()
         self.pipeline.release_reading()
@@ -229,7 +310,7 @@
 
         During a drain the caller is to send it elsewhere.
         """
-        has_role = not self.server.is_draining and self.pipeline.take_reading()
+        has_role = not self.server.is_draining and self._take_reading_ahead()
         if self._unread_since is None and self._has_unread_request(has_role):
             self._unread_since = self._clock.now()
         if not has_role:
@@ -238,6 +319,15 @@
             self._threads += 1
         self.start_reader(self)
 
+    def _take_reading_ahead(self) -> bool:
+        """Take the reading role for another thread, if there may be one more."""
+        if not self.may_start_reader():
+            return False
+        if self.pipeline.take_reading():
+            return True
+        self.on_reader_refused()
+        return False
+
     def _has_unread_request(self, has_role: bool) -> bool:
         """Return whether data waits that no other thread is reading."""
         if has_role:
@@ -250,4 +340,7 @@
             self._threads -= 1
             is_last = not self._threads
         if is_last:
-            self.close()
+            try:
+                self.close()
+            finally:
+                self.on_close(self)
--- /dev/null
+++ b/damaskdyke/gateway/memory.py
@@ -0,0 +1,545 @@
+"""Memory budget of a proxy process for the bodies of requests and replies.
+
+A body takes its memory from the budget before it is read and gives it back when it is
+no longer needed. When the budget is used up, reading waits; then a request is refused
+before anything of it is passed on, and callers without progress give way.
+"""
+
+import contextlib
+import logging
+import mmap
+import threading
+from collections.abc import Callable
+from enum import Enum
+
+from damaskdyke.conf.vm import DEFAULT_MEMORY_MB
+from damaskdyke.core.clock import Clock, Millis
+from damaskdyke.utils.logs import log_event
+
+logger = logging.getLogger("damaskdyke.memory")
+
+BYTES_PER_MB = 1_000_000
+# Interpreter, catalogue and buffers: 31 MB were measured with two upstreams; many
+# workspaces and the metrics exporter add to it.
+PROCESS_BYTES = 64 * 1024 * 1024
+# Share of the memory that is kept for the threads of callers' connections.
+CONNECTION_SHARE = 1 / 6
+# Memory of a connection with its thread: 30 KB were measured idle and after a request;
+# the head of a request adds up to 16 KB.
+CONNECTION_BYTES = 48 * 1024
+# A machine with less memory than the process takes still serves one reply at a time.
+MIN_BUDGET_BYTES = 16 * 1024 * 1024
+# Bodies up to this size count as small and are not kept in mappings of their own.
+SMALL_BODY_BYTES = 64 * 1024
+# Shares of the budget up to which bodies of requests may take memory. The rest stays
+# free for replies, and so for requests without a body.
+SMALL_BODY_SHARE = 0.8
+LARGE_BODY_SHARE = 0.7
+# The same for the only large body of a request: it is served in calm even if the budget
+# is small.
+SINGLE_BODY_SHARE = 15 / 16
+# A body of unknown length takes memory in steps of this size.
+STEP_BYTES = 1024 * 1024
+# Longest wait of a request's body for memory, and its limit as a part of the deadline:
+# the caller needs the rest for a retry.
+MAX_WAIT_MS = 1_000
+MAX_WAIT_SHARE = 0.25
+# Interval at which a waiter looks for callers without progress.
+WAIT_SLICE_MS = 50
+# Retry-After of a refusal: callers without progress have given way by then.
+RETRY_AFTER_MS = 500
+# A caller counts as stalled if it has transferred less than the larger of a number of
+# bytes and a part of the body in this time. It gives way only if memory is needed. A
+# body that takes 64 times as long could not be whole within the idle timeout.
+STALL_MS = 800
+MIN_PROGRESS_BYTES = 16 * 1024
+MIN_PROGRESS_DIVISOR = 64
+
+
+class MemoryKind(Enum):
+    """What a part of the budget holds; log and metrics show the values."""
+
+    BODY = "body"
+    REPLY = "reply"
+
+
+class RefusalReason(Enum):
+    """Why a body gets no memory; the log shows the values."""
+
+    # No memory became free within the wait.
+    NO_MEMORY = "no-memory"
+    # The caller made no progress while others waited for memory.
+    NO_PROGRESS = "no-progress"
+
+
+class MemoryRefused(Exception):
+    """A body gets no memory, or must give it back before it is whole.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+        Why.
+    inputs : dict
+        What the decision depended on, for the log.
+    """
+
+    def __init__(self, reason: RefusalReason, inputs: dict[str, int]):
+        super().__init__(f"{reason.value}: {inputs}")
+        self.reason = reason
+        self.inputs = inputs
+
+
+class BodyTooLarge(Exception):
+    """A body is over its limit, or over what the whole budget can hold."""
+
+
+class MemoryHold:
+    """Memory that one body takes; a context manager that gives it back.
+
+    Parameters
+    ----------
+    budget : MemoryBudget
+        The budget that it is taken from.
+    kind : MemoryKind
+        What it holds.
+    label : str
+        Id of the request or the upstream, for the log.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, budget: "MemoryBudget", kind: MemoryKind, label: str, clock: Clock
+    ):
+        self.kind = kind
+        self.label = label
+        self.size = 0
+        self.is_revoked = False
+        self.is_waiting = False
+        self._budget = budget
+        self._clock = clock
+        self._buffers: list[BodyBuffer] = []
+        # Called to end the transfer; ``None`` while it must not be ended.
+        self.on_revoke: Callable[[], None] | None = None
+        self._progress_at = clock.now()
+        self._progress_bytes = 0
+
+    def __enter__(self) -> "MemoryHold":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    @property
+    def is_large(self) -> bool:
+        """Return whether it holds the body of a request that is not small."""
+        return self.kind is MemoryKind.BODY and self.size > SMALL_BODY_BYTES
+
+    def take(
+        self, count: int, wait_ms: float, check: Callable[[], None] | None = None
+    ) -> None:
+        """Take memory, after a wait until it is free.
+
+        Parameters
+        ----------
+        count : int
+            Bytes to take in addition.
+        wait_ms : float
+            Longest wait.
+        check : callable or None
+            Called at intervals during the wait; may raise to end it.
+
+        Raises
+        ------
+        MemoryRefused
+            If it did not become free.
+        """
+        self._budget.take(self, count, wait_ms, check)
+
+    def make_buffer(
+        self,
+        length: int | None,
+        max_bytes: int,
+        wait_ms: float,
+        check: Callable[[], None] | None = None,
+    ) -> "BodyBuffer":
+        """Return a buffer for a body of a length, ``None`` if it is unknown.
+
+        Raises
+        ------
+        MemoryRefused, BodyTooLarge
+            If the length is known and gets no memory.
+        """
+        buffer = BodyBuffer(self, length, max_bytes, wait_ms, check)
+        self._buffers.append(buffer)
+        return buffer
+
+    def get_max_bytes(self) -> int:
+        """Return the size of the largest body that the budget can hold at all."""
+        return self._budget.get_max_body_bytes(self.kind)
+
+    def allow_revoking(self, on_revoke: Callable[[], None]) -> None:
+        """Let the hold give way while its caller makes no progress."""
+        self._progress_at = self._clock.now()
+        self._progress_bytes = 0
+        self.on_revoke = on_revoke
+
+    def forbid_revoking(self) -> None:
+        """Keep the memory until the hold is closed: the request is passed on now.
+
+        Raises
+        ------
+        MemoryRefused
+            If the hold had to give way already.
+        """
+        self._budget.forbid_revoking(self)
+
+    def check(self) -> None:
+        """Raise :class:`MemoryRefused` if the hold has to give way."""
+        if self.is_revoked:
+            inputs = self._budget.describe(self)
+            raise MemoryRefused(RefusalReason.NO_PROGRESS, inputs)
+
+    def record_progress(self, count: int) -> None:
+        """Record that the caller sent or accepted bytes."""
+        self._progress_bytes += count
+        if self._progress_bytes >= max(
+            MIN_PROGRESS_BYTES, self.size // MIN_PROGRESS_DIVISOR
+        ):
+            self._progress_at = self._clock.now()
+            self._progress_bytes = 0
+
+    def restart_progress(self) -> None:
+        """Count the time without progress from now, after a wait for memory."""
+        self._progress_at = self._clock.now()
+
+    def get_stalled_ms(self, now: Millis) -> int:
+        """Return the time since the last progress, 0 if it must not be ended."""
+        if self.on_revoke is None or self.is_waiting or self.is_revoked:
+            return 0
+        return now - self._progress_at
+
+    def close(self) -> None:
+        """Give all memory back; later calls do nothing."""
+        for buffer in self._buffers:
+            buffer.release()
+        self._buffers.clear()
+        self._budget.close(self)
+
+
+class MemoryBudget:
+    """Memory that all bodies of the process may take together.
+
+    Parameters
+    ----------
+    max_bytes : int
+        The limit.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, max_bytes: int, clock: Clock):
+        self.max_bytes = max_bytes
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._holds: set[MemoryHold] = set()
+        self._held = dict.fromkeys(MemoryKind, 0)
+        self._total = 0
+        # Bodies that were refused, and transfers that gave way, since the start.
+        self.refused_count = 0
+        self.revoked_count = 0
+
+    def open(self, kind: MemoryKind, label: str = "") -> MemoryHold:
+        """Return a hold without memory; it must be closed."""
+        return MemoryHold(self, kind, label, self._clock)
+
+    def get_held(self, kind: MemoryKind) -> int:
+        """Return the bytes that bodies of a kind hold."""
+        return self._held[kind]
+
+    def get_max_body_bytes(self, kind: MemoryKind = MemoryKind.BODY) -> int:
+        """Return the size of the largest body of a kind that can be held at all."""
+        if kind is MemoryKind.REPLY:
+            return self.max_bytes
+        return int(self.max_bytes * SINGLE_BODY_SHARE)
+
+    def describe(self, hold: MemoryHold) -> dict[str, int]:
+        """Return the size of a hold, and what is held in all, for the log."""
+        return {
+            "size": hold.size,
+            "bodies": self._held[MemoryKind.BODY],
+            "replies": self._held[MemoryKind.REPLY],
+            "limit": self.max_bytes,
+        }
+
+    def take(
+        self,
+        hold: MemoryHold,
+        count: int,
+        wait_ms: float,
+        check: Callable[[], None] | None,
+    ) -> None:
+        """Take memory for a hold, see :meth:`MemoryHold.take`."""
+        with self._changed:
+            if self._take(hold, count):
+                return
+        started_at = self._clock.now()
+        hold.is_waiting = True
+        try:
+            self._wait(hold, count, started_at, wait_ms, check)
+        finally:
+            hold.is_waiting = False
+            hold.restart_progress()
+
+    def close(self, hold: MemoryHold) -> None:
+        """Release the memory of a hold."""
+        with self._changed:
+            if hold not in self._holds:
+                return
+            self._holds.remove(hold)
+            self._held[hold.kind] -= hold.size
+            self._total -= hold.size
+            hold.size = 0
+            hold.on_revoke = None
+            self._changed.notify_all()
+
+    def forbid_revoking(self, hold: MemoryHold) -> None:
+        """Keep a hold, see :meth:`MemoryHold.forbid_revoking`."""
+        with self._changed:
+            hold.check()
+            hold.on_revoke = None
+
+    def _wait(
+        self,
+        hold: MemoryHold,
+        count: int,
+        started_at: Millis,
+        wait_ms: float,
+        check: Callable[[], None] | None,
+    ) -> None:
+        while True:
+            with self._changed:
+                if self._take(hold, count):
+                    return
+                stalled = self._revoke_stalled(hold, count)
+            self._end_transfers(stalled)
+            waited_ms = self._clock.now() - started_at
+            if waited_ms >= wait_ms:
+                break
+            if check is not None:
+                check()
+            with self._changed:
+                slice_ms = min(WAIT_SLICE_MS, wait_ms - waited_ms)
+                self._changed.wait(slice_ms / 1_000)
+        with self._changed:
+            self.refused_count += 1
+        inputs = {"wanted": count, "waited_ms": waited_ms, **self.describe(hold)}
+        raise MemoryRefused(RefusalReason.NO_MEMORY, inputs)
+
+    def _end_transfers(self, stalled: list[tuple[MemoryHold, int]]) -> None:
+        for other, stalled_ms in stalled:
+            log_event(
+                logger,
+                "memory-revoked",
+                logging.WARNING,
+                label=other.label,
+                kind=other.kind.value,
+                size=other.size,
+                stalled_ms=stalled_ms,
+            )
+            on_revoke = other.on_revoke
+            if on_revoke is not None:
+                on_revoke()
+
+    # The methods below are called with the lock held.
+
+    def _take(self, hold: MemoryHold, count: int) -> bool:
+        if self._compute_excess(hold, count) > 0:
+            return False
+        self._holds.add(hold)
+        hold.size += count
+        self._held[hold.kind] += count
+        self._total += count
+        return True
+
+    def _compute_excess(self, hold: MemoryHold, count: int) -> int:
+        """Return by how many bytes too few are free for a hold to take more."""
+        total = self._total + count
+        if hold.kind is MemoryKind.REPLY:
+            return total - self.max_bytes
+        if hold.size + count <= SMALL_BODY_BYTES:
+            return total - int(self.max_bytes * SMALL_BODY_SHARE)
+        excess = total - int(self.max_bytes * LARGE_BODY_SHARE)
+        if excess <= 0 or any(x.is_large for x in self._holds if x is not hold):
+            return excess
+        return total - int(self.max_bytes * SINGLE_BODY_SHARE)
+
+    def _revoke_stalled(
+        self, hold: MemoryHold, count: int
+    ) -> list[tuple[MemoryHold, int]]:
+        """Return the holds that give way, with the time without progress of each.
+
+        Those without progress for the longest come first, and only as many as needed.
+        """
+        missing = self._compute_excess(hold, count)
+        missing -= sum(x.size for x in self._holds if x.is_revoked)
+        now = self._clock.now()
+        stalled = [
+            (other.get_stalled_ms(now), other)
+            for other in self._holds
+            if other is not hold and other.get_stalled_ms(now) >= STALL_MS
+        ]
+        stalled.sort(key=lambda item: -item[0])
+        revoked = []
+        for stalled_ms, other in stalled:
+            if missing <= 0:
+                break
+            other.is_revoked = True
+            missing -= other.size
+            self.revoked_count += 1
+            revoked.append((other, stalled_ms))
+        return revoked
+
+
+class BodyBuffer:
+    """Memory of one body, which grows without a copy.
+
+    A body that is not small has a mapping of its own, since the allocator keeps much
+    of what many threads release, and joining pieces would hold the body twice.
+
+    Parameters
+    ----------
+    hold : MemoryHold
+        Takes the memory.
+    length : int or None
+        Length of the body, ``None`` if it is unknown.
+    max_bytes : int
+        Limit on the length.
+    wait_ms, check : float, callable or None
+        Longest wait for memory and what is called meanwhile, see `MemoryHold.take`.
+
+    Raises
+    ------
+    MemoryRefused, BodyTooLarge
+        If the length is known and gets no memory.
+    """
+
+    def __init__(
+        self,
+        hold: MemoryHold,
+        length: int | None,
+        max_bytes: int,
+        wait_ms: float,
+        check: Callable[[], None] | None = None,
+    ):
+        self._hold = hold
+        self._max_bytes = max_bytes
+        self._wait_ms = wait_ms
+        self._check = check
+        self._map: mmap.mmap | None = None
+        self.filled = 0
+        self._capacity = min(SMALL_BODY_BYTES, max_bytes) if length is None else length
+        if self._capacity > min(max_bytes, hold.get_max_bytes()):
+            raise BodyTooLarge
+        hold.take(self._capacity, wait_ms, check)
+        if self._capacity <= SMALL_BODY_BYTES:
+            self._view = memoryview(bytearray(self._capacity))
+        else:
+            self._map_memory(self._capacity)
+
+    def get_room(self, max_count: int) -> memoryview:
+        """Return free memory to read into, empty if a known length is filled."""
+        end = min(self._capacity, self.filled + max_count)
+        return self._view[self.filled : end]
+
+    def check_length(self, count: int) -> None:
+        """Raise :class:`BodyTooLarge` if further bytes are over the limit."""
+        if self.filled + count > self._max_bytes:
+            raise BodyTooLarge
+
+    def has_room(self) -> bool:
+        """Return whether a body can be read further without more memory."""
+        return self.filled < self._capacity
+
+    def advance(self, count: int) -> None:
+        """Record that bytes were read into the free memory."""
+        self.filled += count
+        self._hold.record_progress(count)
+
+    def append(self, data: bytes) -> None:
+        """Copy bytes to the end of a body of unknown length.
+
+        Raises
+        ------
+        MemoryRefused, BodyTooLarge
+            If it does not fit.
+        """
+        end = self.filled + len(data)
+        while end > self._capacity:
+            self.grow()
+        self._view[self.filled : end] = data
+        self.advance(len(data))
+
+    def grow(self) -> None:
+        """Take memory for more of a body of unknown length.
+
+        Raises
+        ------
+        MemoryRefused, BodyTooLarge
+            If it does not fit.
+        """
+        capacity = min(self._capacity + STEP_BYTES, self._max_bytes)
+        if capacity <= self._capacity or capacity > self._hold.get_max_bytes():
+            raise BodyTooLarge
+        self._hold.take(capacity - self._capacity, self._wait_ms, self._check)
+        self._capacity = capacity
+        if self._map is not None:
+            self._view.release()
+            self._map.resize(capacity)
+            self._view = memoryview(self._map)
+            return
+        small = self._view
+        self._map_memory(capacity)
+        self._view[: self.filled] = small[: self.filled]
+
+    def get_body(self) -> bytes | memoryview:
+        """Return the body; one that is not small is valid until the hold is closed."""
+        if self._map is None:
+            return bytes(self._view[: self.filled])
+        self._view = self._view[: self.filled]
+        return self._view
+
+    def release(self) -> None:
+        """Return the memory to the system."""
+        self._view.release()
+        if self._map is not None:
+            # A part that is still referred to is freed with its last reference.
+            with contextlib.suppress(BufferError):
+                self._map.close()
+
+    def _map_memory(self, size: int) -> None:
+        flags = mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS
+        self._map = mmap.mmap(-1, size, flags=flags)
+        # A huge page would take more memory than the body has.
+        with contextlib.suppress(OSError):
+            self._map.madvise(mmap.MADV_NOHUGEPAGE)
+        self._view = memoryview(self._map)
+
+
+def compute_budget_bytes(memory_mb: int) -> int:
+    """Return the memory for bodies of a process on a machine with a memory."""
+    machine_bytes = memory_mb * BYTES_PER_MB
+    rest = machine_bytes * (1 - CONNECTION_SHARE) - PROCESS_BYTES
+    return max(MIN_BUDGET_BYTES, int(rest))
+
+
+def make_default_budget(clock: Clock) -> MemoryBudget:
+    """Return a budget of its own for a part that is used without a proxy process."""
+    return MemoryBudget(compute_budget_bytes(DEFAULT_MEMORY_MB), clock)
+
+
+def compute_wait_ms(deadline_ms: int | None) -> float:
+    """Return how long the body of a request waits for memory."""
+    if not deadline_ms:
+        return MAX_WAIT_MS
+    return min(MAX_WAIT_MS, MAX_WAIT_SHARE * deadline_ms)
--- a/damaskdyke/gateway/pool.py
+++ b/damaskdyke/gateway/pool.py
@@ -6,6 +6,7 @@
 from damaskdyke.core.clock import Clock
 from damaskdyke.core.ids import UpstreamId
 from damaskdyke.gateway.connections import UpstreamConnection
+from damaskdyke.gateway.memory import MemoryBudget, make_default_budget
 from damaskdyke.upstreams.messages import Failure, UpstreamError
 from damaskdyke.utils.polling import is_readable
 
@@ -28,10 +29,21 @@
     ----------
     clock : Clock
         Source of time.
+    memory : MemoryBudget or None
+        Budget of the replies, by default that of a machine of the default size.
+    max_open : int or None
+        Limit on the open connections to all upstreams, ``None`` for no limit.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(
+        self,
+        clock: Clock,
+        memory: MemoryBudget | None = None,
+        max_open: int | None = None,
+    ):
         self._clock = clock
+        self._memory = memory or make_default_budget(clock)
+        self._max_open = max_open
         self._lock = threading.Lock()
         # By id and incarnation of the upstream; the last one released is reused first.
         self._idle: dict[tuple[UpstreamId, int], list[UpstreamConnection]] = {}
@@ -71,7 +83,12 @@
         if idle_connection is not None:
             idle_connection.is_reused = True
             return idle_connection
+        self._close_idle_at_limit()
         with self._lock:
+            if self._is_full():
+                raise UpstreamError(
+                    Failure.LIMIT, f"all {self._max_open} descriptors are in use"
+                )
             if self._open_counts.get(instance.id, 0) >= max_connections:
                 raise UpstreamError(
                     Failure.LIMIT, f"all {max_connections} connections are open"
@@ -79,7 +96,10 @@
             self._open_counts[instance.id] = self._open_counts.get(instance.id, 0) + 1
         try:
             connection = UpstreamConnection(
-                instance, max(1, min(CONNECT_TIMEOUT_MS, timeout_ms)), self._clock
+                instance,
+                max(1, min(CONNECT_TIMEOUT_MS, timeout_ms)),
+                self._clock,
+                self._memory,
             )
         except BaseException:
             self._decrement_open(instance.id)
@@ -167,6 +187,21 @@
                 return connection
             self.discard(connection)
 
+    def _is_full(self) -> bool:
+        return (
+            self._max_open is not None
+            and sum(self._open_counts.values()) >= self._max_open
+        )
+
+    def _close_idle_at_limit(self) -> None:
+        """Close the connection that was idle for the longest if no more may open."""
+        with self._lock:
+            idle = [x for x in self._idle.values() if x] if self._is_full() else []
+            if not idle:
+                return
+            connection = min(idle, key=lambda x: x[0].released_at).pop(0)
+        self.discard(connection)
+
     def _decrement_open(self, upstream: UpstreamId) -> None:
         with self._lock:
             count = self._open_counts.get(upstream, 0) - 1
