Take memory for long heads, and test the budget and bodies in chunks

A connection is no longer taken for stalled while its body makes progress. Bodies of answers are written without a copy.

--- a/damaskdyke/gateway/bodies.py
+++ b/damaskdyke/gateway/bodies.py
@@ -75,6 +75,8 @@
         if is_hung_up(connection.socket):
             raise BodyError(BodyFault.CALLER_GONE)
 
+    # Its connection must not give way while it waits for memory.
+    connection.reading_hold = hold
     try:
         buffer = hold.make_buffer(
             None if req.chunked_read else length,
@@ -85,7 +87,6 @@
         req.send_continue()
         idle_timeout_ms = req.server.get_idle_timeout_ms()
         timeout_ms = min(deadline_ms or idle_timeout_ms, idle_timeout_ms)
-        connection.reading_hold = hold
         # The reading thread finds that the hold was revoked at its next check.
         hold.allow_revoking(lambda: None)
         connection.limit_read(timeout_ms, hold.check)
--- a/damaskdyke/gateway/callers.py
+++ b/damaskdyke/gateway/callers.py
@@ -1,6 +1,7 @@
 """Connections of callers: reading with a time limit, requests ahead, departures."""
 
 import contextlib
+import logging
 import socket
 import threading
 from collections.abc import Callable
@@ -9,18 +10,36 @@
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 
 from damaskdyke.core.clock import Clock, Millis
-from damaskdyke.gateway.memory import MemoryHold
+from damaskdyke.gateway.memory import (
+    MAX_WAIT_MS,
+    MemoryHold,
+    MemoryKind,
+    MemoryRefused,
+)
 from damaskdyke.gateway.pipeline import Pipeline
+from damaskdyke.utils.logs import log_event
 from damaskdyke.utils.polling import is_hung_up, is_readable
 from damaskdyke.utils.sockets import TimedSocketIO
 
+logger = logging.getLogger("damaskdyke.gateway")
+
 # A departure that no data on the connection shows is looked for this often.
 DEPARTURE_CHECK_MS = 200
 # Bytes of a request beyond its head and body: the library's read-ahead, and the framing
 # of a body in chunks.
 FRAMING_BYTES = 1_048_576
-# A body is written in pieces of this size, since the writer keeps a copy of each.
+# Largest part of a body that is written at once.
 WRITE_BYTES = 64 * 1024
+# Answer where the head of a request is not read, so that its id is not known.
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
+# Lines of a head whose objects count as part of the connection, further lines for which
+# memory is taken at once, and the memory of each: 2,300 lines took 0.5 MB.
+FREE_HEAD_LINES = 100
+HEAD_STEP_LINES = 128
+HEAD_LINE_BYTES = 512
 # Limits on what is read and dropped after a refusal.
 DISCARD_MS = 1_000
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024
@@ -121,22 +140,89 @@
             raise CallerDisconnected
 
 
+class LineCounter:
+    """Reader of a head that takes memory for what its lines take beyond their bytes.
+
+    Parameters
+    ----------
+    rfile : file
+        Reader of the connection.
+    take_memory : callable
+        Called for every ``HEAD_STEP_LINES`` lines after the first ones; may raise.
+    """
+
+    def __init__(self, rfile, take_memory: Callable[[], None]):
+        self._rfile = rfile
+        self._take_memory = take_memory
+        self._lines_left = FREE_HEAD_LINES
+
+    def readline(self) -> bytes:
+        """Return the next line."""
+        if not self._lines_left:
+            self._take_memory()
+            self._lines_left = HEAD_STEP_LINES
+        self._lines_left -= 1
+        return self._rfile.readline()
+
+
 class CallerRequestHandler(HTTPRequest):
     """A request with its place in the connection's order and its time of arrival."""
 
     def __init__(self, server, conn: "CallerConnection"):
         super().__init__(server, conn)
+        # Memory of the request; `None` until its head or its body needs some.
+        self.hold: MemoryHold | None = None
         self.number = conn.reading_number
         self.arrived_at = conn.arrived_at
         self._has_answer = False
         self._expects_continue = False
 
     def header_reader(self, rfile, headers: dict[bytes, bytes]) -> None:
-        """Read the header; the library would answer an expectation out of turn."""
-        HeaderReader()(rfile, headers)
+        """Read the header; the library would answer an expectation out of turn.
+
+        A header of many lines takes memory from the budget.
+        """
+        HeaderReader()(LineCounter(rfile, self._take_head_memory), headers)
         expectation = headers.pop(b"Expect", b"")
         self._expects_continue = expectation.lower() == b"100-continue"
 
+    def read_request_headers(self) -> bool:
+        """Read the header; refuse a request for whose header there is no memory."""
+        is_valid = False
+        try:
+            is_valid = super().read_request_headers()
+        except MemoryRefused as error:
+            log_event(
+                logger,
+                "refused",
+                logging.WARNING,
+                reason=error.reason.value,
+                part="head",
+                **error.inputs,
+            )
+            self._refuse()
+        finally:
+            if not is_valid and self.hold is not None:
+                self.hold.close()
+        return is_valid
+
+    def _take_head_memory(self) -> None:
+        """Take memory for further lines of the head."""
+        if self.server.memory is None:
+            return
+        if self.hold is None:
+            self.hold = self.server.memory.open(MemoryKind.BODY)
+        self.hold.take(HEAD_STEP_LINES * HEAD_LINE_BYTES, MAX_WAIT_MS)
+
+    def _refuse(self) -> None:
+        """Answer 503 as the last answer."""
+        self._has_answer = True
+        self.close_connection = True
+        if self.wait_turn():
+            self.conn.pipeline.close_after(self.number)
+            self.conn.wfile.write(REFUSAL)
+            self.conn.discard_input()
+
     def send_continue(self) -> None:
         """Ask for the body if the caller waits for that."""
         if self._expects_continue and self.wait_turn():
@@ -248,11 +334,13 @@
     def write_in_pieces(self, data: bytes | memoryview) -> None:
         """Write a body without a second copy of it, which the library would make."""
         with memoryview(data) as view:
-            for start in range(0, len(view), WRITE_BYTES):
-                piece = view[start : start + WRITE_BYTES]
-                self.wfile.write(piece)
+            start = 0
+            while start < len(view):
+                with view[start : start + WRITE_BYTES] as piece:
+                    count = self.socket.send(piece)
+                start += count
                 if self.writing_hold is not None:
-                    self.writing_hold.record_progress(len(piece))
+                    self.writing_hold.record_progress(count)
 
     def await_request(self) -> None:
         """Record that no request is there."""
@@ -264,11 +352,18 @@
 
         It is 0 while a request is handled.
         """
-        if self.quiet_since is None:
-            holds = (self.reading_hold, self.writing_hold)
-            return max(0 if x is None else x.get_stalled_ms(now) for x in holds)
-        in_flight = self.pipeline.count_in_flight() - self.has_partial_request
-        return 0 if in_flight else now - self.quiet_since
+        writing, reading, since = (
+            self.writing_hold,
+            self.reading_hold,
+            self.quiet_since,
+        )
+        if writing is not None:
+            return writing.get_stalled_ms(now)
+        if self.pipeline.count_in_flight() > self.has_partial_request:
+            return 0
+        if reading is not None:
+            return reading.get_stalled_ms(now)
+        return 0 if since is None else now - since
 
     def has_request(self) -> bool:
         """Return whether a request, or a part of one, is there."""
--- a/damaskdyke/gateway/crowding.py
+++ b/damaskdyke/gateway/crowding.py
@@ -4,10 +4,8 @@
 message, until the process has no descriptor left for its upstreams.
 """
 
-import contextlib
 import logging
 import resource
-import socket
 import threading
 from typing import Protocol
 
@@ -33,11 +31,6 @@
 DEFAULT_MAX_FDS = 65_536
 # Longest wait of a new connection until one that gives way is closed.
 EVICTION_WAIT_MS = 1_000
-# Answer to a connection that finds no place, as its request is not read.
-REFUSAL = (
-    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\n"
-    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
-)
 
 
 class Evictable(Protocol):
@@ -174,14 +167,6 @@
         return max(candidates, key=lambda item: item[0])[1] if candidates else None
 
 
-def refuse_connection(accepted: socket.socket) -> None:
-    """Answer and close a connection that finds no place."""
-    with contextlib.suppress(OSError):
-        accepted.setblocking(False)
-        accepted.send(REFUSAL)
-    accepted.close()
-
-
 def get_max_descriptors(stated: int | None) -> int:
     """Return how many descriptors the process may open, by the settings and system."""
     limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
--- a/damaskdyke/gateway/memory.py
+++ b/damaskdyke/gateway/memory.py
@@ -44,6 +44,9 @@
 # the caller needs the rest for a retry.
 MAX_WAIT_MS = 1_000
 MAX_WAIT_SHARE = 0.25
+# The body that began first, of those that wait for more than they hold, waits longer:
+# if all gave up at once, none of them would ever be whole.
+FIRST_WAIT_FACTOR = 2
 # Interval at which a waiter looks for callers without progress.
 WAIT_SLICE_MS = 50
 # Retry-After of a refusal: callers without progress have given way by then.
@@ -116,6 +119,7 @@
         self.size = 0
         self.is_revoked = False
         self.is_waiting = False
+        self.opened_at = clock.now()
         self._budget = budget
         self._clock = clock
         self._buffers: list[BodyBuffer] = []
@@ -322,9 +326,10 @@
                 if self._take(hold, count):
                     return
                 stalled = self._revoke_stalled(hold, count)
+                is_first = self._is_first_to_grow(hold)
             self._end_transfers(stalled)
             waited_ms = self._clock.now() - started_at
-            if waited_ms >= wait_ms:
+            if waited_ms >= wait_ms * (FIRST_WAIT_FACTOR if is_first else 1):
                 break
             if check is not None:
                 check()
@@ -374,6 +379,14 @@
             return excess
         return total - int(self.max_bytes * SINGLE_BODY_SHARE)
 
+    def _is_first_to_grow(self, hold: MemoryHold) -> bool:
+        """Return whether a hold is the oldest of those that wait for more memory."""
+        return hold.size > 0 and all(
+            hold.opened_at <= other.opened_at
+            for other in self._holds
+            if other.is_waiting
+        )
+
     def _revoke_stalled(
         self, hold: MemoryHold, count: int
     ) -> list[tuple[MemoryHold, int]]:
--- /dev/null
+++ b/tests/gateway/test_bodies.py
@@ -0,0 +1,238 @@
+"""Tests of the memory budget and of bodies in chunks."""
+
+import threading
+import unittest
+from unittest import mock
+
+from damaskdyke.conf.vm import DEFAULT_MEMORY_MB
+from damaskdyke.core.clock import Clock
+from damaskdyke.gateway import bodies, crowding, memory
+from damaskdyke.gateway.memory import (
+    SMALL_BODY_BYTES,
+    STALL_MS,
+    BodyTooLarge,
+    MemoryBudget,
+    MemoryKind,
+    MemoryRefused,
+    RefusalReason,
+)
+from damaskdyke.testbed.processes import wait_for
+from tests.gateway.test_pipelining import PipeliningCase, make_request, read_answers
+
+MEGABYTE = 1024 * 1024
+LARGEST_BODY = 64 * MEGABYTE
+
+
+class BudgetTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.budget = MemoryBudget(100 * MEGABYTE, self.clock)
+
+    def open(self, kind=MemoryKind.BODY):
+        return self.enterContext(self.budget.open(kind))
+
+    def test_large_bodies_leave_memory_to_small_ones_and_replies(self):
+        """Requests without a body must get replies while large bodies are held."""
+        self.open().take(70 * MEGABYTE, 0)
+        with self.assertRaises(MemoryRefused) as caught:
+            self.open().take(MEGABYTE, 0)
+        self.assertEqual(caught.exception.reason, RefusalReason.NO_MEMORY)
+        self.open().take(SMALL_BODY_BYTES, 0)
+        self.open(MemoryKind.REPLY).take(16 * MEGABYTE, 0)
+        self.assertEqual(self.budget.refused_count, 1)
+
+    def test_single_large_body_may_take_nearly_all(self):
+        self.open().take(90 * MEGABYTE, 0)
+
+    def test_waiting_body_gets_what_is_given_back(self):
+        first, second = self.open(), self.open()
+        first.take(60 * MEGABYTE, 0)
+        taken = threading.Event()
+
+        def take():
+            second.take(60 * MEGABYTE, 20_000)
+            taken.set()
+
+        threading.Thread(target=take, daemon=True).start()
+        wait_for(lambda: second.is_waiting, "the wait")
+        first.close()
+        self.assertTrue(taken.wait(20))
+
+    def test_only_a_stalled_hold_gives_way(self):
+        """A body under way must not end for another one."""
+        stalled, passed_on, moving = self.open(), self.open(), self.open()
+        for hold in (stalled, passed_on, moving):
+            hold.take(20 * MEGABYTE, 0)
+            hold.allow_revoking(hold.close)
+        passed_on.forbid_revoking()
+        for hold in (stalled, passed_on):
+            hold._progress_at -= 2 * STALL_MS
+        self.open().take(20 * MEGABYTE, 200)
+        self.assertTrue(stalled.is_revoked)
+        self.assertFalse(passed_on.is_revoked or moving.is_revoked)
+        with self.assertRaises(MemoryRefused) as caught:
+            stalled.check()
+        self.assertEqual(caught.exception.reason, RefusalReason.NO_PROGRESS)
+        self.assertEqual(self.budget.revoked_count, 1)
+
+    def test_trickle_is_no_progress(self):
+        hold = self.open()
+        hold.take(64 * MEGABYTE, 0)
+        hold.allow_revoking(lambda: None)
+        hold._progress_at -= STALL_MS
+        for _ in range(1_000):
+            hold.record_progress(1)
+        self.assertGreaterEqual(hold.get_stalled_ms(self.clock.now()), STALL_MS)
+        hold.record_progress(MEGABYTE)
+        self.assertLess(hold.get_stalled_ms(self.clock.now()), STALL_MS)
+
+    def test_buffer_grows_without_loss(self):
+        hold = self.open()
+        buffer = hold.make_buffer(None, 10 * MEGABYTE, 0)
+        data = bytes(range(256)) * 4_096
+        for _ in range(10):
+            buffer.append(data)
+        self.assertEqual(buffer.get_body(), data * 10)
+        with self.assertRaises(BodyTooLarge):
+            buffer.append(b"x")
+        self.assertEqual(self.budget.get_held(MemoryKind.BODY), 10 * MEGABYTE)
+        hold.close()
+        self.assertEqual(self.budget.get_held(MemoryKind.BODY), 0)
+
+    def test_default_memory_holds_the_largest_bodies(self):
+        for memory_mb in (200, 300, DEFAULT_MEMORY_MB):
+            with self.subTest(memory_mb):
+                limit = memory.compute_budget_bytes(memory_mb)
+                shared = limit * memory.LARGE_BODY_SHARE
+                self.assertGreaterEqual(shared, LARGEST_BODY)
+
+
+class TableTest(unittest.TestCase):
+    class Connection:
+        def __init__(self, quiet_ms, has_request=False):
+            self.quiet_ms, self.is_partial = quiet_ms, has_request
+            self.is_evicted = False
+
+        def get_quiet_ms(self, _):
+            return 0 if self.is_evicted else self.quiet_ms
+
+        def has_request(self):
+            return self.is_partial
+
+        def evict(self):
+            self.is_evicted = True
+            self.table.remove(self)
+
+    def admit(self, table, *connections):
+        for item in connections:
+            self.assertTrue(table.admit())
+            item.table = table
+            table.add(item)
+
+    def test_idle_connection_gives_way_before_a_stalled_one(self):
+        table = crowding.ConnectionTable(3, Clock())
+        newer, older = self.Connection(10), self.Connection(900)
+        stalled = self.Connection(5_000, has_request=True)
+        self.admit(table, newer, older, stalled, self.Connection(0))
+        self.assertTrue(older.is_evicted)
+        self.assertFalse(newer.is_evicted or stalled.is_evicted)
+
+    def test_connection_in_use_does_not_give_way(self):
+        table = crowding.ConnectionTable(1, Clock())
+        used = self.Connection(0, has_request=True)
+        self.admit(table, used)
+        self.assertFalse(table.admit())
+        self.assertFalse(used.is_evicted)
+        self.assertEqual((table.count(), table.refused_count), (1, 1))
+
+
+class ChunksTest(PipeliningCase):
+    def send(self, framing, body, path="/o/x"):
+        head = make_request("q1", path, extra=framing).replace(b"GET", b"POST", 1)
+        connection = self.connect()
+        connection.sendall(head + body)
+        return connection
+
+    def send_chunks(self, body):
+        return self.send("Transfer-Encoding: chunked\r\n", body)
+
+    def find_body(self):
+        return next(item.bodies[-1] for item in self.instances if item.bodies)
+
+    def test_tiny_and_large_chunks_are_joined(self):
+        sizes = [1, 2, 7, 5_000, 70_000, 3, 8_190, 16, 300_000]
+        parts = [bytes([65 + number]) * size for number, size in enumerate(sizes)]
+        chunks = [b"%x;a=b\r\n%s\r\n" % (len(part), part) for part in parts]
+        connection = self.send_chunks(b"".join([*chunks, b"0\r\nA: b\r\n\r\n"]))
+        connection.sendall(make_request("q2"))
+        answers = read_answers(connection, 2)
+        self.assertEqual(answers, [(200, "reply to q1"), (200, "reply to q2")])
+        sent = [body for item in self.instances for body in item.bodies if body]
+        self.assertEqual(sent, [b"".join(parts)])
+
+    def test_body_of_the_largest_size_is_served(self):
+        """The framing counted as part of the body, so that the limit was lower."""
+        body = bytes(1_000)
+        chunks = (b"3e8\r\n" + body + b"\r\n") * 1_000
+        answers = read_answers(self.send_chunks(chunks + b"0\r\n\r\n"), 1)
+        self.assertEqual(answers, [(200, "reply to q1")])
+        self.assertEqual(len(self.find_body()), 1_000_000)
+
+    def test_body_over_the_limit_is_rejected(self):
+        connection = self.send_chunks(b"F4241\r\n")
+        self.assertEqual(read_answers(connection, 2)[0][0], 413)
+        self.assertEqual(self.count_runs(), 0)
+
+    def test_malformed_chunk_is_rejected(self):
+        for chunk in (b"\r\n", b"x\r\n", b"-1\r\n", b"0x1\r\na\r\n", b"1\r\nabc\r\n"):
+            with self.subTest(chunk):
+                connection = self.send_chunks(chunk + b"0\r\n\r\n")
+                self.assertEqual(read_answers(connection, 2)[0][0], 400)
+        self.assertEqual(self.count_runs(), 0)
+
+    def test_line_without_an_end_is_rejected(self):
+        connection = self.send_chunks(b"1" * bodies.MAX_LINE_BYTES)
+        self.assertEqual(read_answers(connection, 2)[0][0], 400)
+
+    def test_negative_length_is_rejected(self):
+        connection = self.send("Content-Length: -1\r\n", b"x")
+        self.assertEqual(read_answers(connection, 2)[0][0], 400)
+        self.assertEqual(self.count_runs(), 0)
+
+    def test_held_back_body_is_asked_for_and_its_refusal_reaches_the_caller(self):
+        framing = "Expect: 100-continue\r\nContent-Length: 2\r\n"
+        connection = self.send(framing, b"")
+        self.assertIn(b" 100 ", connection.recv(100))
+        connection.sendall(b"ab")
+        self.assertEqual(read_answers(connection, 1), [(200, "reply to q1")])
+
+
+class RefusalTest(PipeliningCase):
+    memory_bytes = 500_000
+
+    def test_body_without_memory_is_refused_and_never_runs(self):
+        """The caller must get the whole refusal although it still sends."""
+        self.enterContext(mock.patch.object(memory, "MAX_WAIT_MS", 50))
+        holder = self.enterContext(self.memory.open(MemoryKind.BODY))
+        holder.take(300_000, 0)
+        connection = self.connect()
+        connection.sendall(make_request("q1", "/o/x", b"x" * 300_000))
+        self.assertEqual(read_answers(connection, 2), [(503, "")])
+        self.assertEqual(self.count_runs(), 0)
+        holder.close()
+        connection = self.connect()
+        connection.sendall(make_request("q2", "/o/x", b"x" * 300_000))
+        self.assertEqual(read_answers(connection, 1), [(200, "reply to q2")])
+        self.assertEqual(self.memory.get_held(MemoryKind.BODY), 0)
+
+    def test_stalled_body_is_refused_while_another_one_needs_its_memory(self):
+        """Callers that stopped short of the end kept their memory for 15 s."""
+        self.enterContext(mock.patch.object(memory, "STALL_MS", 50))
+        stalled = self.connect()
+        stalled.sendall(make_request("q1", "/o/x", b"x" * 300_000)[:-1])
+        wait_for(lambda: self.memory.get_held(MemoryKind.BODY), "the body")
+        connection = self.connect()
+        connection.sendall(make_request("q2", "/o/x", b"x" * 300_000))
+        self.assertEqual(read_answers(connection, 1), [(200, "reply to q2")])
+        self.assertEqual(read_answers(stalled, 2), [(503, "")])
+        self.assertFalse(self.was_run("q1"))
--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -41,6 +41,8 @@
 REPLY_BYTES = 8 * MEGABYTE
 # More than the descriptors allow.
 IDLE_CONNECTIONS = 400
+# Lines of a head of nearly 16 KB.
+HEAD_LINES = 2_300
 TINY_CHUNK = b"10\r\n" + b"x" * 16 + b"\r\n"
 TINY_CHUNKS = 65_536
 # Time between two lookups whose replies are read slowly: together they would find the
@@ -158,6 +160,15 @@
         for _ in range(count):
             self.start()
 
+    def add_long_heads(self, count):
+        """Heads of many short lines; their bodies lack the last byte."""
+        lines = "".join(f"{number:x}:\r\n" for number in range(HEAD_LINES))
+        framing = f"{lines}Content-Length: 9"
+        for _ in range(count):
+            request = self.make_id()
+            self.requests.append(request)
+            self.start(make_head(request, "/order/x", framing), b"x" * 8)
+
     def add_slow_readers(self, count):
         """Lookups whose replies are read slowly."""
         for _ in range(count):
@@ -269,6 +280,11 @@
         self.crowd.add_idle(IDLE_CONNECTIONS)
         self.check_crowd()
 
+    def test_long_heads(self):
+        """The objects of a head's lines took many times the bytes of the lines."""
+        self.crowd.add_long_heads(IDLE_CONNECTIONS)
+        self.check_crowd()
+
     def test_slow_readers(self):
         for instance in self.fleet.upstreams:
             instance.reply_body = bytes(REPLY_BYTES)
--- a/tests/gateway/test_pipelining.py
+++ b/tests/gateway/test_pipelining.py
@@ -16,6 +16,7 @@
     CallerWatch,
 )
 from damaskdyke.gateway.instruments import Instruments
+from damaskdyke.gateway.memory import MemoryBudget
 from damaskdyke.gateway.pipeline import MAX_REQUESTS_AHEAD, Pipeline
 from damaskdyke.gateway.server import ThreadedServer
 from damaskdyke.platform.headers import HEADERS
@@ -44,6 +45,7 @@
 
 class PipeliningCase(GatewayCase):
     upstreams = 3
+    memory_bytes = 100_000_000
 
     def setUp(self):
         super().setUp()
@@ -53,6 +55,7 @@
             make_rules(make_route(timeout_ms=5_000), order),
             {item.name: item.describe() for item in self.instances},
         )
+        self.memory = MemoryBudget(self.memory_bytes, self.clock)
         application = Application(
             self.dispatcher,
             self.pool,
@@ -65,7 +68,7 @@
         )
         self.server = ThreadedServer(
             Address("127.0.0.1:0"),
-            make_caller_gateway(application, HEADERS),
+            make_caller_gateway(application, HEADERS, self.memory),
             self.clock,
         )
         self.server.max_request_header_size = 16_384
