--- a/damaskdyke/gateway/memory.py
+++ b/damaskdyke/gateway/memory.py
@@ -47,8 +47,10 @@
 # The body that began first, of those that wait for more than they hold, waits longer:
 # if all gave up at once, none of them would ever be whole.
 FIRST_WAIT_FACTOR = 2
-# Interval at which a waiter looks for callers without progress.
-WAIT_SLICE_MS = 50
+# Interval at which a waiter looks for callers without progress, and the shortest one at
+# which any of them does: hundreds may wait.
+WAIT_SLICE_MS = 200
+SCAN_INTERVAL_MS = 50
 # Retry-After of a refusal: callers without progress have given way by then.
 RETRY_AFTER_MS = 500
 # A caller counts as stalled if it has transferred less than the larger of a number of
@@ -249,6 +251,9 @@
         self._holds: set[MemoryHold] = set()
         self._held = dict.fromkeys(MemoryKind, 0)
         self._total = 0
+        # What the waiting holds want, and when stalled holds were last looked for.
+        self._wanted = 0
+        self._scanned_at = Millis(clock.now() - SCAN_INTERVAL_MS)
         # Bodies that were refused, and transfers that gave way, since the start.
         self.refused_count = 0
         self.revoked_count = 0
@@ -287,6 +292,7 @@
         with self._changed:
             if self._take(hold, count):
                 return
+            self._wanted += count
         started_at = self._clock.now()
         hold.is_waiting = True
         try:
@@ -294,6 +300,8 @@
         finally:
             hold.is_waiting = False
             hold.restart_progress()
+            with self._changed:
+                self._wanted -= count
 
     def close(self, hold: MemoryHold) -> None:
         """Release the memory of a hold."""
@@ -392,11 +400,15 @@
     ) -> list[tuple[MemoryHold, int]]:
         """Return the holds that give way, with the time without progress of each.
 
-        Those without progress for the longest come first, and only as many as needed.
+        Those without progress for the longest come first, and only as many as all that
+        wait need.
         """
-        missing = self._compute_excess(hold, count)
-        missing -= sum(x.size for x in self._holds if x.is_revoked)
         now = self._clock.now()
+        if now - self._scanned_at < SCAN_INTERVAL_MS:
+            return []
+        self._scanned_at = now
+        missing = self._compute_excess(hold, count) + self._wanted - count
+        missing -= sum(x.size for x in self._holds if x.is_revoked)
         stalled = [
             (other.get_stalled_ms(now), other)
             for other in self._holds
