--- a/damaskdyke/gateway/bodies.py
+++ b/damaskdyke/gateway/bodies.py
@@ -132,6 +132,8 @@
     BodyError
         If the caller closed its connection.
     """
+    if not buffer.has_room():
+        buffer.grow()
     with buffer.get_room(min(max_count, READ_BYTES)) as room:
         count = connection.read_into(room)
     if not count:
@@ -151,8 +153,6 @@
             return
         buffer.check_length(size)
         while size:
-            if not buffer.has_room():
-                buffer.grow()
             size -= read_some(connection, buffer, size)
         if rfile.read(len(CRLF)) != CRLF:
             raise BodyError(BodyFault.MALFORMED)
--- a/damaskdyke/gateway/memory.py
+++ b/damaskdyke/gateway/memory.py
@@ -9,6 +9,7 @@
 import logging
 import mmap
 import threading
+from collections import deque
 from collections.abc import Callable
 from enum import Enum
 
@@ -233,6 +234,34 @@
         self._budget.close(self)
 
 
+class Share(Enum):
+    """Parts of the budget, which differ in how much of it they may take."""
+
+    REPLY = "reply"
+    SMALL_BODY = "small-body"
+    LARGE_BODY = "large-body"
+
+
+def get_share(hold: MemoryHold, count: int) -> Share:
+    """Return the part of the budget from which a hold takes further bytes."""
+    if hold.kind is MemoryKind.REPLY:
+        return Share.REPLY
+    is_small = hold.size + count <= SMALL_BODY_BYTES
+    return Share.SMALL_BODY if is_small else Share.LARGE_BODY
+
+
+class Waiter:
+    """A hold that waits for bytes; ``granted`` is set once it has them."""
+
+    __slots__ = ("count", "granted", "hold", "share")
+
+    def __init__(self, hold: MemoryHold, count: int):
+        self.hold = hold
+        self.count = count
+        self.share = get_share(hold, count)
+        self.granted = threading.Event()
+
+
 class MemoryBudget:
     """Memory that all bodies of the process may take together.
 
@@ -247,8 +276,10 @@
     def __init__(self, max_bytes: int, clock: Clock):
         self.max_bytes = max_bytes
         self._clock = clock
-        self._changed = threading.Condition()
+        self._lock = threading.Lock()
         self._holds: set[MemoryHold] = set()
+        # In the order of arrival; one that does not fit keeps those behind it waiting.
+        self._waiters: dict[Share, deque[Waiter]] = {share: deque() for share in Share}
         self._held = dict.fromkeys(MemoryKind, 0)
         self._total = 0
         # What the waiting holds want, and when stalled holds were last looked for.
@@ -289,23 +320,28 @@
         check: Callable[[], None] | None,
     ) -> None:
         """Take memory for a hold, see :meth:`MemoryHold.take`."""
-        with self._changed:
-            if self._take(hold, count):
+        waiter = Waiter(hold, count)
+        queue = self._waiters[waiter.share]
+        with self._lock:
+            if not queue and self._take(hold, count):
                 return
+            queue.append(waiter)
             self._wanted += count
-        started_at = self._clock.now()
         hold.is_waiting = True
         try:
-            self._wait(hold, count, started_at, wait_ms, check)
+            self._wait(waiter, wait_ms, check)
         finally:
             hold.is_waiting = False
             hold.restart_progress()
-            with self._changed:
+            with self._lock:
                 self._wanted -= count
+                if not waiter.granted.is_set():
+                    queue.remove(waiter)
+                    self._grant()
 
     def close(self, hold: MemoryHold) -> None:
         """Release the memory of a hold."""
-        with self._changed:
+        with self._lock:
             if hold not in self._holds:
                 return
             self._holds.remove(hold)
@@ -313,25 +349,23 @@
             self._total -= hold.size
             hold.size = 0
             hold.on_revoke = None
-            self._changed.notify_all()
+            self._grant()
 
     def forbid_revoking(self, hold: MemoryHold) -> None:
         """Keep a hold, see :meth:`MemoryHold.forbid_revoking`."""
-        with self._changed:
+        with self._lock:
             hold.check()
             hold.on_revoke = None
 
     def _wait(
-        self,
-        hold: MemoryHold,
-        count: int,
-        started_at: Millis,
-        wait_ms: float,
-        check: Callable[[], None] | None,
+        self, waiter: "Waiter", wait_ms: float, check: Callable[[], None] | None
     ) -> None:
+        hold, count = waiter.hold, waiter.count
+        started_at = self._clock.now()
         while True:
-            with self._changed:
-                if self._take(hold, count):
+            with self._lock:
+                self._grant()
+                if waiter.granted.is_set():
                     return
                 stalled = self._revoke_stalled(hold, count)
                 is_first = self._is_first_to_grow(hold)
@@ -341,10 +375,14 @@
                 break
             if check is not None:
                 check()
-            with self._changed:
-                slice_ms = min(WAIT_SLICE_MS, wait_ms - waited_ms)
-                self._changed.wait(slice_ms / 1_000)
-        with self._changed:
+            slice_ms = min(WAIT_SLICE_MS, wait_ms * FIRST_WAIT_FACTOR - waited_ms)
+            if waited_ms < wait_ms:
+                slice_ms = min(slice_ms, wait_ms - waited_ms)
+            if waiter.granted.wait(slice_ms / 1_000):
+                return
+        with self._lock:
+            if waiter.granted.is_set():
+                return
             self.refused_count += 1
         inputs = {"wanted": count, "waited_ms": waited_ms, **self.describe(hold)}
         raise MemoryRefused(RefusalReason.NO_MEMORY, inputs)
@@ -366,6 +404,12 @@
 
     # The methods below are called with the lock held.
 
+    def _grant(self) -> None:
+        """Let those that wait take what is free."""
+        for queue in self._waiters.values():
+            while queue and self._take(queue[0].hold, queue[0].count):
+                queue.popleft().granted.set()
+
     def _take(self, hold: MemoryHold, count: int) -> bool:
         if self._compute_excess(hold, count) > 0:
             return False
@@ -378,9 +422,10 @@
     def _compute_excess(self, hold: MemoryHold, count: int) -> int:
         """Return by how many bytes too few are free for a hold to take more."""
         total = self._total + count
-        if hold.kind is MemoryKind.REPLY:
+        share = get_share(hold, count)
+        if share is Share.REPLY:
             return total - self.max_bytes
-        if hold.size + count <= SMALL_BODY_BYTES:
+        if share is Share.SMALL_BODY:
             return total - int(self.max_bytes * SMALL_BODY_SHARE)
         excess = total - int(self.max_bytes * LARGE_BODY_SHARE)
         if excess <= 0 or any(x.is_large for x in self._holds if x is not hold):
@@ -389,10 +434,10 @@
 
     def _is_first_to_grow(self, hold: MemoryHold) -> bool:
         """Return whether a hold is the oldest of those that wait for more memory."""
-        return hold.size > 0 and all(
+        return hold.is_large and all(
             hold.opened_at <= other.opened_at
             for other in self._holds
-            if other.is_waiting
+            if other.is_waiting and other.is_large
         )
 
     def _revoke_stalled(
@@ -463,14 +508,14 @@
         self._check = check
         self._map: mmap.mmap | None = None
         self.filled = 0
-        self._capacity = min(SMALL_BODY_BYTES, max_bytes) if length is None else length
-        if self._capacity > min(max_bytes, hold.get_max_bytes()):
+        self._length = length
+        wanted = max_bytes if length is None else length
+        if length is not None and length > min(max_bytes, hold.get_max_bytes()):
             raise BodyTooLarge
+        # A caller that sends little must not take, or wait for, more than that.
+        self._capacity = min(SMALL_BODY_BYTES, wanted)
         hold.take(self._capacity, wait_ms, check)
-        if self._capacity <= SMALL_BODY_BYTES:
-            self._view = memoryview(bytearray(self._capacity))
-        else:
-            self._map_memory(self._capacity)
+        self._view = memoryview(bytearray(self._capacity))
 
     def get_room(self, max_count: int) -> memoryview:
         """Return free memory to read into, empty if a known length is filled."""
@@ -506,7 +551,7 @@
         self.advance(len(data))
 
     def grow(self) -> None:
-        """Take memory for more of a body of unknown length.
+        """Take memory for the rest of a body, or for more of one of unknown length.
 
         Raises
         ------
@@ -514,6 +559,8 @@
             If it does not fit.
         """
         capacity = min(self._capacity + STEP_BYTES, self._max_bytes)
+        if self._length is not None:
+            capacity = self._length
         if capacity <= self._capacity or capacity > self._hold.get_max_bytes():
             raise BodyTooLarge
         self._hold.take(capacity - self._capacity, self._wait_ms, self._check)
--- a/tests/gateway/test_bodies.py
+++ b/tests/gateway/test_bodies.py
@@ -230,7 +230,7 @@
         self.enterContext(mock.patch.object(memory, "STALL_MS", 50))
         stalled = self.connect()
         stalled.sendall(make_request("q1", "/o/x", b"x" * 300_000)[:-1])
-        wait_for(lambda: self.memory.get_held(MemoryKind.BODY), "the body")
+        wait_for(lambda: self.memory.get_held(MemoryKind.BODY) == 300_000, "the body")
         connection = self.connect()
         connection.sendall(make_request("q2", "/o/x", b"x" * 300_000))
         self.assertEqual(read_answers(connection, 1), [(200, "reply to q2")])
