--- a/damaskdyke/gateway/bodies.py
+++ b/damaskdyke/gateway/bodies.py
@@ -39,6 +39,11 @@
         self.fault = fault
 
 
+def has_body(req: HTTPRequest) -> bool:
+    """Return whether the header of a request announces a body."""
+    return req.chunked_read or b"Content-Length" in req.inheaders
+
+
 def read_body(
     req: HTTPRequest, hold: MemoryHold, deadline_ms: int | None
 ) -> bytes | memoryview:
--- a/damaskdyke/gateway/callers.py
+++ b/damaskdyke/gateway/callers.py
@@ -6,8 +6,14 @@
 import threading
 from collections.abc import Callable
 
+from cheroot.errors import MaxSizeExceeded
 from cheroot.makefile import MakeFile
-from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
+from cheroot.server import (
+    HeaderReader,
+    HTTPConnection,
+    HTTPRequest,
+    SizeCheckWrapper,
+)
 
 from damaskdyke.core.clock import Clock, Millis
 from damaskdyke.gateway.memory import (
@@ -140,29 +146,41 @@
             raise CallerDisconnected
 
 
-class LineCounter:
-    """Reader of a head that takes memory for what its lines take beyond their bytes.
+class HeadReader:
+    """Reader of a head's lines, in place of the library's, which limits only bytes.
 
     Parameters
     ----------
-    rfile : file
-        Reader of the connection.
+    wrapped : SizeCheckWrapper
+        The library's reader.
     take_memory : callable
         Called for every ``HEAD_STEP_LINES`` lines after the first ones; may raise.
     """
 
-    def __init__(self, rfile, take_memory: Callable[[], None]):
-        self._rfile = rfile
+    def __init__(self, wrapped: SizeCheckWrapper, take_memory: Callable[[], None]):
+        self._rfile = wrapped.rfile
+        # Without a limit in the configuration, that of the framing applies.
+        self._bytes_left = (wrapped.maxlen or FRAMING_BYTES) - wrapped.bytes_read
         self._take_memory = take_memory
         self._lines_left = FREE_HEAD_LINES
 
     def readline(self) -> bytes:
-        """Return the next line."""
+        """Return the next line.
+
+        Raises
+        ------
+        MaxSizeExceeded
+            If the head is over the byte limit.
+        """
         if not self._lines_left:
             self._take_memory()
             self._lines_left = HEAD_STEP_LINES
         self._lines_left -= 1
-        return self._rfile.readline()
+        line = self._rfile.readline(self._bytes_left + 1)
+        self._bytes_left -= len(line)
+        if self._bytes_left < 0:
+            raise MaxSizeExceeded
+        return line
 
 
 class CallerRequestHandler(HTTPRequest):
@@ -182,7 +200,7 @@
 
         A header of many lines takes memory from the budget.
         """
-        HeaderReader()(LineCounter(rfile, self._take_head_memory), headers)
+        HeaderReader()(HeadReader(rfile, self._take_head_memory), headers)
         expectation = headers.pop(b"Expect", b"")
         self._expects_continue = expectation.lower() == b"100-continue"
 
--- a/damaskdyke/gateway/memory.py
+++ b/damaskdyke/gateway/memory.py
@@ -11,7 +11,7 @@
 import threading
 from collections import deque
 from collections.abc import Callable
-from enum import Enum
+from enum import Enum, StrEnum
 
 from damaskdyke.conf.vm import DEFAULT_MEMORY_MB
 from damaskdyke.core.clock import Clock, Millis
@@ -62,7 +62,7 @@
 MIN_PROGRESS_DIVISOR = 64
 
 
-class MemoryKind(Enum):
+class MemoryKind(StrEnum):
     """What a part of the budget holds; log and metrics show the values."""
 
     BODY = "body"
@@ -128,7 +128,7 @@
         self._buffers: list[BodyBuffer] = []
         # Called to end the transfer; ``None`` while it must not be ended.
         self.on_revoke: Callable[[], None] | None = None
-        self._progress_at = clock.now()
+        self._progress_at = self.opened_at
         self._progress_bytes = 0
 
     def __enter__(self) -> "MemoryHold":
@@ -234,7 +234,7 @@
         self._budget.close(self)
 
 
-class Share(Enum):
+class Share(StrEnum):
     """Parts of the budget, which differ in how much of it they may take."""
 
     REPLY = "reply"
@@ -253,12 +253,11 @@
 class Waiter:
     """A hold that waits for bytes; ``granted`` is set once it has them."""
 
-    __slots__ = ("count", "granted", "hold", "share")
+    __slots__ = ("count", "granted", "hold")
 
     def __init__(self, hold: MemoryHold, count: int):
         self.hold = hold
         self.count = count
-        self.share = get_share(hold, count)
         self.granted = threading.Event()
 
 
@@ -320,11 +319,11 @@
         check: Callable[[], None] | None,
     ) -> None:
         """Take memory for a hold, see :meth:`MemoryHold.take`."""
-        waiter = Waiter(hold, count)
-        queue = self._waiters[waiter.share]
+        queue = self._waiters[get_share(hold, count)]
         with self._lock:
             if not queue and self._take(hold, count):
                 return
+            waiter = Waiter(hold, count)
             queue.append(waiter)
             self._wanted += count
         hold.is_waiting = True
@@ -406,6 +405,8 @@
 
     def _grant(self) -> None:
         """Let those that wait take what is free."""
+        if not self._wanted:
+            return
         for queue in self._waiters.values():
             while queue and self._take(queue[0].hold, queue[0].count):
                 queue.popleft().granted.set()
