--- a/damaskdyke/gateway/callers.py
+++ b/damaskdyke/gateway/callers.py
@@ -1,22 +1,54 @@
 """Connections of callers: reading with a time limit, requests ahead, departures."""
 
+import contextlib
+import logging
 import socket
 import threading
 from collections.abc import Callable
 
+from cheroot.errors import MaxSizeExceeded
 from cheroot.makefile import MakeFile
-from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
+from cheroot.server import (
+    HeaderReader,
+    HTTPConnection,
+    HTTPRequest,
+    SizeCheckWrapper,
+)
 
 from damaskdyke.core.clock import Clock, Millis
+from damaskdyke.gateway.memory import (
+    MAX_WAIT_MS,
+    MemoryHold,
+    MemoryKind,
+    MemoryRefused,
+)
 from damaskdyke.gateway.pipeline import Pipeline
+from damaskdyke.utils.logs import log_event
 from damaskdyke.utils.polling import is_hung_up, is_readable
 from damaskdyke.utils.sockets import TimedSocketIO
 
+logger = logging.getLogger("damaskdyke.gateway")
+
 # A departure that no data on the connection shows is looked for this often.
 DEPARTURE_CHECK_MS = 200
 # Bytes of a request beyond its head and body: the library's read-ahead, and the framing
 # of a body in chunks.
 FRAMING_BYTES = 1_048_576
+# Largest part of a body that is written at once.
+WRITE_BYTES = 64 * 1024
+# Answer where the head of a request is not read, so that its id is not known.
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
+# Lines of a head whose objects count as part of the connection, further lines for which
+# memory is taken at once, and the memory of each: 2,300 lines took 0.5 MB.
+FREE_HEAD_LINES = 100
+HEAD_STEP_LINES = 128
+HEAD_LINE_BYTES = 512
+# Limits on what is read and dropped after a refusal.
+DISCARD_MS = 1_000
+MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 
 
 class CallerDisconnected(Exception):
@@ -114,29 +146,106 @@
             raise CallerDisconnected
 
 
+class HeadReader:
+    """Reader of a head's lines, in place of the library's, which limits only bytes.
+
+    Parameters
+    ----------
+    wrapped : SizeCheckWrapper
+        The library's reader.
+    take_memory : callable
+        Called for every ``HEAD_STEP_LINES`` lines after the first ones; may raise.
+    """
+
+    def __init__(self, wrapped: SizeCheckWrapper, take_memory: Callable[[], None]):
+        self._rfile = wrapped.rfile
+        # Without a limit in the configuration, that of the framing applies.
+        self._bytes_left = (wrapped.maxlen or FRAMING_BYTES) - wrapped.bytes_read
+        self._take_memory = take_memory
+        self._lines_left = FREE_HEAD_LINES
+
+    def readline(self) -> bytes:
+        """Return the next line.
+
+        Raises
+        ------
+        MaxSizeExceeded
+            If the head is over the byte limit.
+        """
+        if not self._lines_left:
+            self._take_memory()
+            self._lines_left = HEAD_STEP_LINES
+        self._lines_left -= 1
+        line = self._rfile.readline(self._bytes_left + 1)
+        self._bytes_left -= len(line)
+        if self._bytes_left < 0:
+            raise MaxSizeExceeded
+        return line
+
+
 class CallerRequestHandler(HTTPRequest):
     """A request with its place in the connection's order and its time of arrival."""
 
     def __init__(self, server, conn: "CallerConnection"):
         super().__init__(server, conn)
+        # Memory of the request; `None` until its head or its body needs some.
+        self.hold: MemoryHold | None = None
         self.number = conn.reading_number
         self.arrived_at = conn.arrived_at
         self._has_answer = False
         self._expects_continue = False
 
     def header_reader(self, rfile, headers: dict[bytes, bytes]) -> None:
-        """Read the header; the library would answer an expectation out of turn."""
-        HeaderReader()(rfile, headers)
+        """Read the header; the library would answer an expectation out of turn.
+
+        A header of many lines takes memory from the budget.
+        """
+        HeaderReader()(HeadReader(rfile, self._take_head_memory), headers)
         expectation = headers.pop(b"Expect", b"")
         self._expects_continue = expectation.lower() == b"100-continue"
 
     def read_request_headers(self) -> bool:
-        """Read the header and ask for the body if the caller waits for that."""
-        is_valid = super().read_request_headers()
-        if is_valid and self._expects_continue and self.wait_turn():
-            self.conn.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        """Read the header; refuse a request for whose header there is no memory."""
+        is_valid = False
+        try:
+            is_valid = super().read_request_headers()
+        except MemoryRefused as error:
+            log_event(
+                logger,
+                "refused",
+                logging.WARNING,
+                reason=error.reason.value,
+                part="head",
+                **error.inputs,
+            )
+            self._refuse()
+        finally:
+            if not is_valid and self.hold is not None:
+                self.hold.close()
         return is_valid
 
+    def _take_head_memory(self) -> None:
+        """Take memory for further lines of the head."""
+        if self.server.memory is None:
+            return
+        if self.hold is None:
+            self.hold = self.server.memory.open(MemoryKind.BODY)
+        self.hold.take(HEAD_STEP_LINES * HEAD_LINE_BYTES, MAX_WAIT_MS)
+
+    def _refuse(self) -> None:
+        """Answer 503 as the last answer."""
+        self._has_answer = True
+        self.close_connection = True
+        if self.wait_turn():
+            self.conn.pipeline.close_after(self.number)
+            self.conn.wfile.write(REFUSAL)
+            self.conn.discard_input()
+
+    def send_continue(self) -> None:
+        """Ask for the body if the caller waits for that."""
+        if self._expects_continue and self.wait_turn():
+            self.conn.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def parse_request(self) -> None:
         """Read the head; one that ends before it begins is a departure."""
         super().parse_request()
@@ -189,6 +298,17 @@
         self._lock = threading.Lock()
         self._threads = 1
         self.start_reader: Callable[[CallerConnection], object] = lambda _: None
+        # Counts a reader if there may be one more, and one that was not started.
+        self.may_start_reader: Callable[[], bool] = lambda: True
+        self.on_reader_refused: Callable[[], object] = lambda: None
+        self.on_close: Callable[[CallerConnection], object] = lambda _: None
+        # Since when the caller has sent no whole request, ``None`` while one is
+        # handled; and whether part of one is there.
+        self.quiet_since: Millis | None = clock.now()
+        self.has_partial_request = False
+        # Memory of the body that is being read, and of the reply being written.
+        self.reading_hold: MemoryHold | None = None
+        self.writing_hold: MemoryHold | None = None
 
     def _make_file(self, sock: socket.socket, mode: str, buffer_size: int):
         made = MakeFile(sock, mode, buffer_size)
@@ -202,20 +322,94 @@
         now = self._clock.now()
         self.arrived_at = now if self._unread_since is None else self._unread_since
         self._unread_since = None
+        self.quiet_since = now
+        self.has_partial_request = True
         self.limit_read(read_timeout_ms)
         number = self.pipeline.begin()
         if number is not None:
             self.reading_number = number
         return number
 
-    def limit_read(self, timeout_ms: int) -> None:
-        """Set the time limit for the part of a request that is read next."""
+    def limit_read(
+        self, timeout_ms: int, check: Callable[[], None] | None = None
+    ) -> None:
+        """Set the time limit for the part of a request that is read next.
+
+        ``check`` is called while bytes are awaited and may raise to end the read.
+        """
         max_bytes = self.server.max_request_header_size
         max_bytes += self.server.max_request_body_size + FRAMING_BYTES
-        self._raw_reader.start_message(timeout_ms, max_bytes)
+        self._raw_reader.start_message(timeout_ms, max_bytes, check)
+
+    def read_into(self, buffer: memoryview) -> int:
+        """Read what has arrived, at least a byte; return its size, 0 at the end."""
+        if not self.rfile.has_data():
+            return self._raw_reader.readinto(buffer)
+        data = self.rfile.read1(len(buffer))
+        buffer[: len(data)] = data
+        return len(data)
+
+    def write_in_pieces(self, data: bytes | memoryview) -> None:
+        """Write a body without a second copy of it, which the library would make."""
+        with memoryview(data) as view:
+            start = 0
+            while start < len(view):
+                with view[start : start + WRITE_BYTES] as piece:
+                    count = self.socket.send(piece)
+                start += count
+                if self.writing_hold is not None:
+                    self.writing_hold.record_progress(count)
+
+    def await_request(self) -> None:
+        """Record that no request is there."""
+        self.quiet_since = self._clock.now()
+        self.has_partial_request = False
+
+    def get_quiet_ms(self, now: Millis) -> int:
+        """Return for how long the caller has kept the connection without progress.
+
+        It is 0 while a request is handled.
+        """
+        writing, reading, since = (
+            self.writing_hold,
+            self.reading_hold,
+            self.quiet_since,
+        )
+        if writing is not None:
+            return writing.get_stalled_ms(now)
+        if self.pipeline.count_in_flight() > self.has_partial_request:
+            return 0
+        if reading is not None:
+            return reading.get_stalled_ms(now)
+        return 0 if since is None else now - since
+
+    def has_request(self) -> bool:
+        """Return whether a request, or a part of one, is there."""
+        return self.quiet_since is None or self.has_partial_request
+
+    def evict(self) -> None:
+        """End the connection; requests that are not passed on yet never are."""
+        self.pipeline.mark_caller_gone()
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+    def discard_input(self) -> None:
+        """Drop what the caller still sends after its last answer, for a short time.
+
+        The system would otherwise reset the connection, and the caller might lose the
+        answer.
+        """
+        buffer = bytearray(WRITE_BYTES)
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            self._raw_reader.start_message(DISCARD_MS, MAX_DISCARDED_BYTES)
+            while self._raw_reader.readinto(buffer):
+                pass
 
     def end_reading(self) -> None:
         """Give the reading role up, as the present request was read whole."""
+        self.quiet_since = None
+        self.has_partial_request = False
         if self.rfile.has_data():
             self._unread_since = self._clock.now()
         self.pipeline.release_reading()
@@ -229,7 +423,7 @@
 
         During a drain the caller is to send it elsewhere.
         """
-        has_role = not self.server.is_draining and self.pipeline.take_reading()
+        has_role = not self.server.is_draining and self._take_reading_ahead()
         if self._unread_since is None and self._has_unread_request(has_role):
             self._unread_since = self._clock.now()
         if not has_role:
@@ -238,6 +432,15 @@
             self._threads += 1
         self.start_reader(self)
 
+    def _take_reading_ahead(self) -> bool:
+        """Take the reading role for another thread, if there may be one more."""
+        if not self.may_start_reader():
+            return False
+        if self.pipeline.take_reading():
+            return True
+        self.on_reader_refused()
+        return False
+
     def _has_unread_request(self, has_role: bool) -> bool:
         """Return whether data waits that no other thread is reading."""
         if has_role:
@@ -250,4 +453,7 @@
             self._threads -= 1
             is_last = not self._threads
         if is_last:
-            self.close()
+            try:
+                self.close()
+            finally:
+                self.on_close(self)
