--- a/damaskdyke/dispatch/balancing.py
+++ b/damaskdyke/dispatch/balancing.py
@@ -25,6 +25,8 @@
 
     # Whether candidates state if this proxy has a share of their slots left.
     uses_shares = False
+    # Whether candidates state the load that is expected from old counts.
+    estimates_load = False
     # Whether the counts of peers expire by the mean duration of the service.
     expires_counts = False
 
@@ -89,7 +91,7 @@
     def draw(self, near: list[Choice], random_source: random.Random) -> Choice:
         """Return a random one, weighted by its free slots and its speed."""
         weights = [
-            max(FULL_WEIGHT, item.instance.slots - item.in_flight) / item.duration_ms
+            max(FULL_WEIGHT, item.instance.slots - item.load) / item.duration_ms
             for item in near
         ]
         return random_source.choices(near, weights)[0]
@@ -103,13 +105,14 @@
     """
 
     uses_shares = True
+    estimates_load = True
     expires_counts = True
 
     def draw(self, near: list[Choice], random_source: random.Random) -> Choice:
         """Return the least loaded upstream with a share left, or a random one."""
         shared = [item for item in near if item.has_share]
         if shared:
-            return min(shared, key=lambda item: item.in_flight)
+            return min(shared, key=lambda item: item.load)
         return super().draw(near, random_source)
 
 
--- a/damaskdyke/dispatch/choices.py
+++ b/damaskdyke/dispatch/choices.py
@@ -44,6 +44,8 @@
         Whether it had no send for so long that it is to be tried.
     has_share : bool
         Whether a slot of it that is this proxy's share is not used by this proxy.
+    load : float
+        Requests expected there, as ``in_flight`` is old.
     """
 
     instance: Instance
@@ -55,6 +57,7 @@
     risk_ms: float = 0.0
     is_due: bool = False
     has_share: bool = False
+    load: float = 0.0
 
 
 def get_cheaper(one: Choice | None, other: Choice | None) -> Choice | None:
