--- a/tests/dispatch/test_balancing.py
+++ b/tests/dispatch/test_balancing.py
@@ -1,3 +1,4 @@
+import logging
 import random
 import unittest
 
@@ -25,7 +26,7 @@
 
 
 def make_choice(name, in_flight=0, **fields):
-    values = {"duration_ms": 100.0, **fields}
+    values = {"duration_ms": 100.0, "load": in_flight, **fields}
     return Choice(
         make_instance(name), ChoiceReason.CHEAPEST, 100.0, in_flight, 0.05, **values
     )
@@ -182,6 +183,12 @@
     today's choice of the least cost.
     """
 
+    def setUp(self):
+        # The simulated proxies log thousands of changes.
+        logger = logging.getLogger("damaskdyke.dispatch")
+        self.addCleanup(logger.setLevel, logger.level)
+        logger.setLevel(logging.ERROR)
+
     def play(self, name, balancing, seeds=SEEDS):
         pattern = patterns.get(name)
         replays = [Replay(pattern, Policy.PRODUCT, seed, balancing) for seed in seeds]
