--- a/damaskdyke/dispatch/holds.py
+++ b/damaskdyke/dispatch/holds.py
@@ -89,9 +89,10 @@
 
     def _get(self, upstream: UpstreamId, incarnation: int) -> Hold:
         hold = self._holds.get(upstream)
-        if hold is None or hold.incarnation != incarnation:
+        if hold is None or hold.incarnation < incarnation:
             hold = self._holds[upstream] = Hold(incarnation)
-        return hold
+        # A late reply of an earlier incarnation changes nothing that is kept.
+        return hold if hold.incarnation == incarnation else Hold(incarnation)
 
 
 def parse_pause_ms(text: str) -> int:
--- a/damaskdyke/fleet/zone_rates.py
+++ b/damaskdyke/fleet/zone_rates.py
@@ -31,6 +31,9 @@
 # counts as known once no further proxy has appeared for this time; until then a large
 # one is assumed.
 SETTLED_MS = 500
+# The same for a proxy that knows no other one of its zone but some of other zones,
+# which name to it all that they hear from.
+ALONE_SETTLED_MS = 5_000
 # Entries that fit into one datagram below the usual limit of a packet.
 RATES_PER_DATAGRAM = 40
 # The largest size of the zone counts for this long after proxies were lost, as they may
@@ -93,18 +96,16 @@
 
     def update(self) -> None:
         """Update the shares of this proxy, and announce the zone's rates when due."""
-        if not self._quotas.has_quotas:
-            return
         now = self._clock.now()
         zone, other_zones = self._gossip.list_members()
         size = len(zone) + 1
+        # The zone is followed without quotas too: the first one may come at any time.
         expected = self._zone_size.update(size, self._gossip.departures, now)
-        fleet = FleetView(
-            frozenset({self._gossip.zone, *other_zones}),
-            size,
-            expected,
-            self._check_zone_known(len(zone), now),
-        )
+        is_known = self._check_zone_known(len(zone), bool(other_zones), now)
+        if not self._quotas.has_quotas:
+            return
+        zones = frozenset({self._gossip.zone, *other_zones})
+        fleet = FleetView(zones, size, expected, is_known)
         rates = self._quotas.update_quotas(fleet)
         self._updates += 1
         if self._updates % UPDATES_PER_ANNOUNCEMENT:
@@ -130,11 +131,15 @@
         if not announcement.is_relayed:
             self._gossip.relay_zone_rates(announcement)
 
-    def _check_zone_known(self, members: int, now: Millis) -> bool:
+    def _check_zone_known(
+        self, members: int, has_other_zones: bool, now: Millis
+    ) -> bool:
         """Return whether the known members are likely to be all of the zone."""
         if members != self._known_members:
             self._known_members, self._members_since = members, now
-        is_settled = members > 0 and now - self._members_since >= SETTLED_MS
+        settled_ms = SETTLED_MS if members else ALONE_SETTLED_MS
+        is_in_contact = members > 0 or has_other_zones
+        is_settled = is_in_contact and now - self._members_since >= settled_ms
         if is_settled or not self._gossip.has_other_seeds:
             self._is_zone_known = True
         return self._is_zone_known
--- a/damaskdyke/workspaces/directory.py
+++ b/damaskdyke/workspaces/directory.py
@@ -36,14 +36,20 @@
         for workspace in workspaces:
             if workspace.name in self._by_name:
                 repeated_names.append(workspace.name)
-                continue
-            self._by_name[workspace.name] = workspace
+            else:
+                self._by_name[workspace.name] = workspace
             for key in workspace.keys:
                 holder = self._by_key.setdefault(key, workspace)
                 if holder is not workspace:
                     shared_keys.add(key)
         for key in shared_keys:
             del self._by_key[key]
+        listed = self._by_name
+        self._by_key = {
+            key: workspace
+            for key, workspace in self._by_key.items()
+            if listed[workspace.name] is workspace
+        }
         self.repeated_names = tuple(repeated_names)
         self.shared_key_count = len(shared_keys)
         self.priorities = frozenset(item.priority for item in self._by_name.values())
--- a/damaskdyke/workspaces/fairness.py
+++ b/damaskdyke/workspaces/fairness.py
@@ -270,6 +270,12 @@
         guarantee.requests -= 1
         return True
 
+    def return_turn(self, workspace: WorkspaceName) -> None:
+        """Owe a workspace the request again for which a turn was claimed in vain."""
+        guarantee = self._guarantees.get(workspace)
+        if guarantee is not None:
+            guarantee.requests = min(MAX_GUARANTEES, guarantee.requests + 1)
+
     def record_result(
         self,
         workspace: WorkspaceName,
@@ -329,7 +335,8 @@
     def _remove_from_level(self, usage: Usage) -> None:
         level = self._levels[usage.priority]
         level.active -= 1
-        level.weighted_use -= usage.weighted_use
+        # Rounding may leave less than nothing.
+        level.weighted_use = max(0.0, level.weighted_use - usage.weighted_use)
         if not level.active:
             del self._levels[usage.priority]
 
--- a/damaskdyke/workspaces/freshness.py
+++ b/damaskdyke/workspaces/freshness.py
@@ -29,7 +29,7 @@
 URGENT_QUESTION_INTERVAL_MS = 250
 # Proofs and open questions that are kept. A proof for a revision that the catalogue has
 # yet to reach counts once it does; the ones before it count until then.
-MAX_PROOFS = 8
+MAX_PROOFS = 32
 MAX_QUESTIONS = 16
 
 
@@ -48,6 +48,11 @@
     revision: int
 
 
+def is_as_good(one: Proof, other: Proof) -> bool:
+    """Return whether a proof is not older than another and needs no later revision."""
+    return one.proven_at >= other.proven_at and one.revision <= other.revision
+
+
 class FreshnessTracker:
     """Newest proofs of this proxy's catalogue. All methods are safe in any thread.
 
@@ -61,7 +66,8 @@
     def __init__(self, max_age_ms: int | None):
         self._lock = threading.Lock()
         self._max_age_ms = max_age_ms
-        self._proofs: deque[Proof] = deque(maxlen=MAX_PROOFS)
+        # None of them is both older and for a later revision than another.
+        self._proofs: list[Proof] = []
         # Times of questions that were asked and may still be answered.
         self._questions: deque[Millis] = deque(maxlen=MAX_QUESTIONS)
 
@@ -89,7 +95,7 @@
         the watch was sent.
         """
         with self._lock:
-            self._proofs.append(Proof(sent_at, revision))
+            self._add(Proof(sent_at, revision))
 
     def record_question(self, now: Millis) -> None:
         """Record that peers are asked for a proof now."""
@@ -105,7 +111,16 @@
         """
         with self._lock:
             if asked_at in self._questions:
-                self._proofs.append(Proof(Millis(asked_at - age_ms), revision))
+                self._add(Proof(Millis(asked_at - age_ms), revision))
+
+    def _add(self, proof: Proof) -> None:
+        """Keep a proof unless another is as good, and drop those that it replaces."""
+        if any(is_as_good(known, proof) for known in self._proofs):
+            return
+        kept = [known for known in self._proofs if not is_as_good(proof, known)]
+        kept.append(proof)
+        kept.sort(key=lambda item: item.proven_at)
+        self._proofs = kept[-MAX_PROOFS:]
 
     # Use.
 
--- a/damaskdyke/workspaces/quotas.py
+++ b/damaskdyke/workspaces/quotas.py
@@ -192,6 +192,7 @@
         self._random = random_source
         self._directory: Directory | None = None
         self._fleet = FleetView(frozenset({zone}), is_size_known=False)
+        self._heard_zones = frozenset({zone})
         self._buckets: dict[WorkspaceName, Bucket] = {}
         # Rates and times of announcements, by workspace and zone.
         self._zone_rates: dict[WorkspaceName, dict[ZoneName, tuple[float, Millis]]] = {}
@@ -296,10 +297,12 @@
     def set_fleet(self, fleet: FleetView, now: Millis) -> None:
         """Apply what is known of the fleet, and drop what is idle or expired.
 
-        To be called some times a second. A zone that was known once counts as long as
-        the process lives: it may run requests while this proxy does not hear from it.
+        To be called some times a second. A zone that was heard from once counts as long
+        as the process lives: it may run requests while this proxy is cut off from it.
         """
-        zones = self._fleet.zones | fleet.zones
+        zones = self._heard_zones | fleet.zones
+        if fleet.is_size_known:
+            self._heard_zones = zones
         self._fleet = FleetView(
             zones, fleet.zone_proxies, fleet.expected_proxies, fleet.is_size_known
         )
@@ -450,6 +453,11 @@
         return used + unknown_zones * bucket.rate / zones
 
     def _expire_zone_rates(self, now: Millis) -> None:
+        self._zones_heard_at = {
+            zone: heard_at
+            for zone, heard_at in self._zones_heard_at.items()
+            if zone in self._fleet.zones or is_current(heard_at, now)
+        }
         for name, rates in list(self._zone_rates.items()):
             current = {
                 zone: item for zone, item in rates.items() if is_current(item[1], now)
@@ -475,11 +483,12 @@
         return self._decay_sends(bucket, now) / memory_seconds
 
     def _choose_retry_after_ms(self, bucket: Bucket) -> int:
-        """Return the time until there is a token, spread so that retries do not meet.
+        """Return the time until the reserve is full, spread so that retries differ.
 
-        It is at most the window, after which any debt is repaid.
+        From then on requests are admitted for certain, unless others come first. A
+        longer time than the window is shortened to it.
         """
-        missing = max(0.0, 1.0 - bucket.level)
+        missing = max(0.0, self._get_reserve(bucket) - bucket.level)
         wait_ms = MILLIS_PER_SECOND * missing / max(bucket.share, 0.001)
         spread_ms = max(MIN_SPREAD_MS, wait_ms / 2)
         chosen_ms = wait_ms + self._random.random() * spread_ms
--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -9,11 +9,13 @@
 from damaskdyke.catalogue.types import Change
 from damaskdyke.core.clock import Clock
 from damaskdyke.fleet.gen.fleet.Relay import Processor
-from damaskdyke.fleet.gen.fleet.ttypes import ViewChange, ViewPart
+from damaskdyke.fleet.gen.fleet.ttypes import News, ViewChange, ViewPart
 from damaskdyke.fleet.messages import (
     MAX_VALUE_BYTES,
     DatagramError,
     compress_value,
+    decode_datagram,
+    encode_datagram,
 )
 from damaskdyke.fleet.relay import RelayClient, RelayError, RelayHandler, decode_part
 from damaskdyke.peers.server import PeerServer
@@ -70,6 +72,21 @@
                 with self.assertRaises(DatagramError):
                     decode_part(ViewPart([change], False, 4))
 
+    def test_datagram_that_would_take_much_memory_is_invalid(self):
+        values = [bytes([n]) * MAX_VALUE_BYTES for n in range(3)]
+        for count, is_valid in ((2, True), (3, False)):
+            changes = [
+                ViewChange(f"k{n}", 4, compress_value(value), False, False, True)
+                for n, value in enumerate(values[:count])
+            ]
+            datagram = News("10.0.0.1", "a", 1, 1, 4, changes=changes, base_revision=3)
+            data = encode_datagram(datagram)
+            with self.subTest(count=count):
+                if is_valid:
+                    self.assertEqual(len(decode_datagram(data).changes), 2)
+                else:
+                    self.assertRaises(DatagramError, decode_datagram, data)
+
     def test_answer_with_a_damaged_part_is_an_error_of_the_relay(self):
         change = ViewChange("k", 1, b"", False, False)
         for part in (
--- a/tests/fleet/test_zone_rates.py
+++ b/tests/fleet/test_zone_rates.py
@@ -9,9 +9,11 @@
 from damaskdyke.fleet.members import FleetMembers
 from damaskdyke.fleet.messages import DatagramError, decode_datagram, encode_datagram
 from damaskdyke.fleet.zone_rates import (
+    ALONE_SETTLED_MS,
     ANNOUNCERS_PER_ZONE,
     COUNTING_MS,
     RATES_PER_DATAGRAM,
+    SETTLED_MS,
     ZONE_SIZE_RETENTION_MS,
     ZoneRateExchange,
     ZoneSizeMemory,
@@ -119,6 +121,29 @@
         wait_for(lambda: received, "the announcement")
         self.assertEqual(received, [("a", [("w", 1.0)])])
 
+    def describe_zone(self, number=0):
+        gossip, quotas, exchange = self.fleet[number]
+        exchange.update()
+        return quotas.fleets[-1].is_size_known
+
+    def test_only_proxy_of_its_zone_is_known_after_a_while(self):
+        # It used a fortieth of its zone's share for ever.
+        self.start_fleet("ab")
+        self.assertFalse(self.describe_zone(1))
+        self.clock.offset_ms = ALONE_SETTLED_MS
+        self.assertTrue(self.describe_zone(1))
+
+    def test_zone_is_known_when_the_first_quota_comes(self):
+        # The burst of the first workspace with a quota was cut.
+        self.start_fleet("aa")
+        _, quotas, exchange = self.fleet[1]
+        quotas.has_quotas = False
+        exchange.update()
+        self.clock.offset_ms = SETTLED_MS
+        exchange.update()
+        quotas.has_quotas = True
+        self.assertTrue(self.describe_zone(1))
+
     def test_nothing_is_sent_without_quotas(self):
         self.start_fleet("ab")
         self.clock.offset_ms = COUNTING_MS
--- a/tests/gateway/test_holds.py
+++ b/tests/gateway/test_holds.py
@@ -25,6 +25,11 @@
         self.assertFalse(self.holds.may_send("u1", 1, 0))
         self.assertTrue(self.holds.may_send("u1", 2, 0))
 
+    def test_late_reply_of_an_earlier_incarnation_changes_nothing(self):
+        self.holds.mark_leaving("u1", 2)
+        self.holds.pause("u1", 1, 2_000)
+        self.assertFalse(self.holds.may_send("u1", 2, 0))
+
     def test_pause_ends_and_is_not_shortened(self):
         self.holds.pause("u1", 1, 2_000)
         self.holds.pause("u1", 1, 500)
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -145,3 +145,39 @@
         counts = self.instruments.over_quota_counts
         self.assertEqual(len(counts), MAX_COUNTED_WORKSPACES + 1)
         self.assertEqual(counts[OTHER_WORKSPACES], 5)
+
+
+class ReviewedTest(QuotaCase):
+    def test_workspaces_in_reports_are_not_kept_where_none_is_configured(self):
+        # They took memory at a proxy that has nothing to do with workspaces.
+        instances = {item.name: item.describe() for item in self.instances}
+        rules = Rules(2, (make_route(),), self.view.rules.services, CallerLimits())
+        self.view = build_catalogue(2, rules, instances)
+        instance = self.upstream.describe()
+        for number in range(100):
+            report = LoadReport(
+                instance.id,
+                instance.incarnation,
+                1,
+                Outcome.PENDING,
+                0,
+                SendKind.FIRST,
+                workspace=f"stranger{number}",
+            )
+            self.dispatcher.apply_reports("10.0.0.9", True, [report])
+        state = self.dispatcher.get_share_state("desk", "stranger1")
+        self.assertEqual(state.active, 0)
+
+    def test_zones_of_upstreams_count_until_the_fleet_is_known(self):
+        # A zone that holds upstreams only took a part of every quota for ever.
+        instances = {
+            item.name: item.describe(zone="far-away") for item in self.instances
+        }
+        self.view = build_catalogue(2, self.view.rules, instances)
+        shares = []
+        for is_known in (False, True):
+            fleet = FleetView(frozenset({"a"}), 1, 1, is_known)
+            self.dispatcher.update_quotas(fleet)
+            shares.append(self.dispatcher.admit(LIMITED).per_second)
+        self.assertLess(shares[0], 0.6)
+        self.assertGreaterEqual(shares[1], 1.0)
--- a/tests/workspaces/test_directory.py
+++ b/tests/workspaces/test_directory.py
@@ -35,6 +35,12 @@
         self.assertIsNone(directory.find_by_key("k"))
         self.assertEqual(directory.find_by_key("k1").name, "w1")
 
+    def test_key_of_a_repeated_name_belongs_to_nobody_else(self):
+        workspaces = [Workspace("a", ("k1",)), Workspace("a", ("k2",))]
+        directory = Directory([*workspaces, Workspace("b", ("k2",))])
+        self.assertEqual(directory.find_by_key("k1").name, "a")
+        self.assertIsNone(directory.find_by_key("k2"))
+
     def test_key_that_a_workspace_lists_twice_stays_its_own(self):
         directory = Directory([Workspace("w1", ("k", "k"))])
         self.assertEqual(directory.find_by_key("k").name, "w1")
--- a/tests/workspaces/test_fairness.py
+++ b/tests/workspaces/test_fairness.py
@@ -270,6 +270,23 @@
         self.assertEqual(sum(claims), fairness.MAX_GUARANTEES)
 
 
+class ReturnedTurnTest(unittest.TestCase):
+    def test_turn_that_was_not_used_is_owed_again(self):
+        # A request over its quota used up what its workspace was owed.
+        shares = FairShares(random.Random(1))
+        shares.record_result("w", True, False, 0)
+        shares.record_result("w", False, False, 0)
+        while not shares.claim_turn("w", 0):
+            shares.record_result("w", False, False, 0)
+        shares.return_turn("w")
+        self.assertTrue(shares.claim_turn("w", 0))
+
+    def test_unknown_workspace_is_owed_nothing(self):
+        shares = FairShares(random.Random(1))
+        shares.return_turn("w")
+        self.assertFalse(shares.claim_turn("w", 0))
+
+
 class WaitOrderTest(unittest.TestCase):
     """The queue serves by rank, then by the least use, then by arrival."""
 
--- a/tests/workspaces/test_freshness.py
+++ b/tests/workspaces/test_freshness.py
@@ -49,6 +49,16 @@
         self.assertFalse(self.tracker.is_fresh(8, now))
         self.assertTrue(self.tracker.is_fresh(9, now))
 
+    def test_proof_that_can_be_used_is_kept_beside_many_others(self):
+        # Answers with older proofs, or for a revision still to come, replaced it.
+        self.tracker.record_watch(9_000, 7)
+        for moment in range(8_000, 8_040):
+            self.tracker.record_watch(moment, 7)
+        for moment in range(9_001, 9_011):
+            self.tracker.record_watch(moment, 8)
+        self.assertEqual(self.tracker.get_age_ms(7, 9_100), 100)
+        self.assertEqual(self.tracker.get_age_ms(8, 9_100), 90)
+
     def test_answer_of_a_peer_dates_from_the_question_less_its_age(self):
         self.tracker.record_question(1_000)
         # It arrives after a freeze; its age is that of the time of the answer.
