Keep replies from giving way to request bodies that wait for memory

A request body that waited for memory cut off a reply whose caller had read nothing for 0.8 s, although the order behind it had run. A request body now ends only stalled bodies, after half of its wait; a reply ends stalled bodies first and stalled replies after half of its wait.

--- a/damaskdyke/gateway/memory.py
+++ b/damaskdyke/gateway/memory.py
@@ -52,6 +52,9 @@
 # which any of them does: hundreds may wait.
 WAIT_SLICE_MS = 200
 SCAN_INTERVAL_MS = 50
+# Part of its wait after which a waiting request body makes stalled bodies give way, and
+# a waiting reply stalled replies: a caller that only paused may go on meanwhile.
+REVOKE_WAIT_SHARE = 0.5
 # Retry-After of a refusal: callers without progress have given way by then.
 RETRY_AFTER_MS = 500
 # A caller counts as stalled if it has transferred less than the larger of a number of
@@ -283,7 +286,8 @@
         self._total = 0
         # What the waiting holds want, and when stalled holds were last looked for.
         self._wanted = 0
-        self._scanned_at = Millis(clock.now() - SCAN_INTERVAL_MS)
+        # By kind of the waiting hold, and whether it has waited for its part.
+        self._scanned_at: dict[tuple[MemoryKind, bool], Millis] = {}
         # Bodies that were refused, and transfers that gave way, since the start.
         self.refused_count = 0
         self.revoked_count = 0
@@ -361,12 +365,14 @@
     ) -> None:
         hold, count = waiter.hold, waiter.count
         started_at = self._clock.now()
+        patient_ms = wait_ms * REVOKE_WAIT_SHARE
         while True:
+            waited_ms = self._clock.now() - started_at
             with self._lock:
                 self._grant()
                 if waiter.granted.is_set():
                     return
-                stalled = self._revoke_stalled(hold, count)
+                stalled = self._revoke_stalled(hold, count, waited_ms >= patient_ms)
                 is_first = self._is_first_to_grow(hold)
             self._end_transfers(stalled)
             waited_ms = self._clock.now() - started_at
@@ -375,8 +381,9 @@
             if check is not None:
                 check()
             slice_ms = min(WAIT_SLICE_MS, wait_ms * FIRST_WAIT_FACTOR - waited_ms)
-            if waited_ms < wait_ms:
-                slice_ms = min(slice_ms, wait_ms - waited_ms)
+            for limit_ms in (patient_ms, wait_ms):
+                if waited_ms < limit_ms:
+                    slice_ms = min(slice_ms, limit_ms - waited_ms)
             if waiter.granted.wait(slice_ms / 1_000):
                 return
         with self._lock:
@@ -442,25 +449,33 @@
         )
 
     def _revoke_stalled(
-        self, hold: MemoryHold, count: int
+        self, hold: MemoryHold, count: int, has_waited: bool
     ) -> list[tuple[MemoryHold, int]]:
         """Return the holds that give way, with the time without progress of each.
 
-        Those without progress for the longest come first, and only as many as all that
-        wait need.
+        Bodies of requests come first, of these the ones without progress for the
+        longest, and only as many as all that wait need. A reply never gives way to the
+        body of a request: its order has run; the body can be refused without loss.
         """
+        is_reply = hold.kind is MemoryKind.REPLY
+        if not (has_waited or is_reply):
+            return []
         now = self._clock.now()
-        if now - self._scanned_at < SCAN_INTERVAL_MS:
+        scanned_at = self._scanned_at.get((hold.kind, has_waited))
+        if scanned_at is not None and now - scanned_at < SCAN_INTERVAL_MS:
             return []
-        self._scanned_at = now
+        self._scanned_at[hold.kind, has_waited] = now
+        may_end_replies = is_reply and has_waited
         missing = self._compute_excess(hold, count) + self._wanted - count
         missing -= sum(x.size for x in self._holds if x.is_revoked)
         stalled = [
             (other.get_stalled_ms(now), other)
             for other in self._holds
-            if other is not hold and other.get_stalled_ms(now) >= STALL_MS
+            if other is not hold
+            and (other.kind is MemoryKind.BODY or may_end_replies)
+            and other.get_stalled_ms(now) >= STALL_MS
         ]
-        stalled.sort(key=lambda item: -item[0])
+        stalled.sort(key=lambda item: (item[1].kind is MemoryKind.REPLY, -item[0]))
         revoked = []
         for stalled_ms, other in stalled:
             if missing <= 0:
--- a/tests/gateway/test_bodies.py
+++ b/tests/gateway/test_bodies.py
@@ -75,6 +75,41 @@
         self.assertEqual(caught.exception.reason, RefusalReason.NO_PROGRESS)
         self.assertEqual(self.budget.revoked_count, 1)
 
+    def open_stalled(self, kind, size):
+        hold = self.open(kind)
+        hold.take(size, 0)
+        hold.allow_revoking(hold.close)
+        hold._progress_at -= 2 * STALL_MS
+        return hold
+
+    def test_reply_does_not_give_way_to_the_body_of_a_request(self):
+        """A reply of an order that has run was cut for a body that could be refused."""
+        reply = self.open_stalled(MemoryKind.REPLY, 60 * MEGABYTE)
+        with self.assertRaises(MemoryRefused):
+            self.open().take(60 * MEGABYTE, 100)
+        self.assertFalse(reply.is_revoked)
+
+    def test_body_gives_way_only_after_a_part_of_the_wait(self):
+        """An upload that paused for less than a second was refused at once."""
+        stalled = self.open_stalled(MemoryKind.BODY, 60 * MEGABYTE)
+        started_at = self.clock.now()
+        self.open().take(60 * MEGABYTE, 400)
+        self.assertTrue(stalled.is_revoked)
+        self.assertGreaterEqual(self.clock.now() - started_at, 200)
+
+    def test_stalled_reply_gives_way_to_a_reply_after_bodies(self):
+        """A reply was cut although a body without progress held enough."""
+        body = self.open_stalled(MemoryKind.BODY, 40 * MEGABYTE)
+        reply = self.open_stalled(MemoryKind.REPLY, 50 * MEGABYTE)
+        reply._progress_at -= STALL_MS
+        self.open(MemoryKind.REPLY).take(40 * MEGABYTE, 400)
+        self.assertTrue(body.is_revoked)
+        self.assertFalse(reply.is_revoked)
+        started_at = self.clock.now()
+        self.open(MemoryKind.REPLY).take(40 * MEGABYTE, 400)
+        self.assertTrue(reply.is_revoked)
+        self.assertGreaterEqual(self.clock.now() - started_at, 200)
+
     def test_trickle_is_no_progress(self):
         hold = self.open()
         hold.take(64 * MEGABYTE, 0)
