--- a/damaskdyke/gateway/memory.py
+++ b/damaskdyke/gateway/memory.py
@@ -10,7 +10,7 @@
 import mmap
 import threading
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from enum import Enum, StrEnum
 
 from damaskdyke.conf.vm import DEFAULT_MEMORY_MB
@@ -427,16 +427,23 @@
         self._total += count
         return True
 
-    def _compute_excess(self, hold: MemoryHold, count: int) -> int:
-        """Return by how many bytes too few are free for a hold to take more."""
-        total = self._total + count
+    def _compute_excess(
+        self, hold: MemoryHold, count: int, gone: Collection[MemoryHold] = ()
+    ) -> int:
+        """Return by how many bytes too few are free for a hold to take more.
+
+        ``gone`` are holds whose memory counts as free.
+        """
+        total = self._total + count - sum(x.size for x in gone)
         share = get_share(hold, count)
         if share is Share.REPLY:
             return total - self.max_bytes
         if share is Share.SMALL_BODY:
             return total - int(self.max_bytes * SMALL_BODY_SHARE)
         excess = total - int(self.max_bytes * LARGE_BODY_SHARE)
-        if excess <= 0 or any(x.is_large for x in self._holds if x is not hold):
+        if excess <= 0 or any(
+            x.is_large for x in self._holds if x is not hold and x not in gone
+        ):
             return excess
         return total - int(self.max_bytes * SINGLE_BODY_SHARE)
 
@@ -454,8 +461,9 @@
         """Return the holds that give way, with the time without progress of each.
 
         Bodies of requests come first, of these the ones without progress for the
-        longest, and only as many as all that wait need. A reply never gives way to the
-        body of a request: its order has run; the body can be refused without loss.
+        longest, and only as many as the waiting hold needs; none if all of them are too
+        few. A reply never gives way to the body of a request: its order has run, while
+        the body can be refused without loss.
         """
         is_reply = hold.kind is MemoryKind.REPLY
         if not (has_waited or is_reply):
@@ -466,8 +474,7 @@
             return []
         self._scanned_at[hold.kind, has_waited] = now
         may_end_replies = is_reply and has_waited
-        missing = self._compute_excess(hold, count) + self._wanted - count
-        missing -= sum(x.size for x in self._holds if x.is_revoked)
+        gone = {x for x in self._holds if x.is_revoked}
         stalled = [
             (other.get_stalled_ms(now), other)
             for other in self._holds
@@ -476,12 +483,15 @@
             and other.get_stalled_ms(now) >= STALL_MS
         ]
         stalled.sort(key=lambda item: (item[1].kind is MemoryKind.REPLY, -item[0]))
+        all_gone = gone.union(other for _, other in stalled)
+        if self._compute_excess(hold, count, all_gone) > 0:
+            return []
         revoked = []
         for stalled_ms, other in stalled:
-            if missing <= 0:
+            if self._compute_excess(hold, count, gone) <= 0:
                 break
             other.is_revoked = True
-            missing -= other.size
+            gone.add(other)
             self.revoked_count += 1
             revoked.append((other, stalled_ms))
         return revoked
--- a/tests/gateway/test_bodies.py
+++ b/tests/gateway/test_bodies.py
@@ -110,6 +110,22 @@
         self.assertTrue(reply.is_revoked)
         self.assertGreaterEqual(self.clock.now() - started_at, 200)
 
+    def test_nothing_gives_way_if_it_would_not_be_enough(self):
+        """Both were lost: the stalled body, and the one that it was too small for."""
+        self.open().take(50 * MEGABYTE, 0)
+        stalled = self.open_stalled(MemoryKind.BODY, 10 * MEGABYTE)
+        with self.assertRaises(MemoryRefused):
+            self.open().take(40 * MEGABYTE, 100)
+        self.assertFalse(stalled.is_revoked)
+        self.open().take(15 * MEGABYTE, 100)
+        self.assertTrue(stalled.is_revoked)
+
+    def test_only_large_body_may_count_on_the_end_of_all_others(self):
+        """It fits into its larger share only once no other large body is held."""
+        stalled = self.open_stalled(MemoryKind.BODY, 30 * MEGABYTE)
+        self.open().take(85 * MEGABYTE, 100)
+        self.assertTrue(stalled.is_revoked)
+
     def test_trickle_is_no_progress(self):
         hold = self.open()
         hold.take(64 * MEGABYTE, 0)
