Let waits for up to 1 MB pass one that does not fit

A waiting body of 64 MB kept all bodies over 64 KB waiting: ten of 115 KB were refused with 19 MB free. A body behind one that does not fit also no longer ends stalled holds, whose memory it could not take.

--- a/damaskdyke/gateway/memory.py
+++ b/damaskdyke/gateway/memory.py
@@ -41,6 +41,9 @@
 SINGLE_BODY_SHARE = 15 / 16
 # A body of unknown length takes memory in steps of this size.
 STEP_BYTES = 1024 * 1024
+# Holds that wait for at most this pass one that does not fit: a body of 64 MB kept all
+# those over 64 KB waiting.
+MAX_PASSING_BYTES = 1024 * 1024
 # Longest wait of a request's body for memory, and its limit as a part of the deadline:
 # the caller needs the rest for a retry.
 MAX_WAIT_MS = 1_000
@@ -280,7 +283,8 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._holds: set[MemoryHold] = set()
-        # In the order of arrival; one that does not fit keeps those behind it waiting.
+        # In the order of arrival; one that does not fit keeps those behind it waiting
+        # that want more than ``MAX_PASSING_BYTES``.
         self._waiters: dict[Share, deque[Waiter]] = {share: deque() for share in Share}
         self._held = dict.fromkeys(MemoryKind, 0)
         self._total = 0
@@ -325,7 +329,8 @@
         """Take memory for a hold, see :meth:`MemoryHold.take`."""
         queue = self._waiters[get_share(hold, count)]
         with self._lock:
-            if not queue and self._take(hold, count):
+            may_take = not queue or count <= MAX_PASSING_BYTES
+            if may_take and self._take(hold, count):
                 return
             waiter = Waiter(hold, count)
             queue.append(waiter)
@@ -372,7 +377,12 @@
                 self._grant()
                 if waiter.granted.is_set():
                     return
-                stalled = self._revoke_stalled(hold, count, waited_ms >= patient_ms)
+                stalled = []
+                # Memory that is freed for one that may not take it yet is lost.
+                queue = self._waiters[get_share(hold, count)]
+                if queue[0] is waiter or count <= MAX_PASSING_BYTES:
+                    has_waited = waited_ms >= patient_ms
+                    stalled = self._revoke_stalled(hold, count, has_waited)
                 is_first = self._is_first_to_grow(hold)
             self._end_transfers(stalled)
             waited_ms = self._clock.now() - started_at
@@ -417,6 +427,11 @@
         for queue in self._waiters.values():
             while queue and self._take(queue[0].hold, queue[0].count):
                 queue.popleft().granted.set()
+            for waiter in list(queue)[1:]:
+                may_pass = waiter.count <= MAX_PASSING_BYTES
+                if may_pass and self._take(waiter.hold, waiter.count):
+                    queue.remove(waiter)
+                    waiter.granted.set()
 
     def _take(self, hold: MemoryHold, count: int) -> bool:
         if self._compute_excess(hold, count) > 0:
--- a/tests/gateway/test_bodies.py
+++ b/tests/gateway/test_bodies.py
@@ -1,5 +1,6 @@
 """Tests of the memory budget and of bodies in chunks."""
 
+import contextlib
 import threading
 import unittest
 from unittest import mock
@@ -126,6 +127,48 @@
         self.open().take(85 * MEGABYTE, 100)
         self.assertTrue(stalled.is_revoked)
 
+    def test_bodies_of_ordinary_size_pass_one_that_does_not_fit(self):
+        """All bodies over 64 KB were refused with 19 MB free."""
+        other, largest, behind = self.open(), self.open(), self.open()
+        other.take(30 * MEGABYTE, 0)
+        self.start_taking(largest, 64 * MEGABYTE)
+        self.start_taking(behind, MEGABYTE + 1)
+        for _ in range(10):
+            self.open().take(115_000, 0)
+        self.assertTrue(largest.is_waiting and behind.is_waiting)
+
+    def test_waiting_body_of_ordinary_size_passes_one_that_does_not_fit(self):
+        """It waited behind the largest one although memory became free."""
+        first, other, largest, ordinary = (self.open() for _ in range(4))
+        first.take(39 * MEGABYTE, 0)
+        other.take(31 * MEGABYTE, 0)
+        self.start_taking(largest, 64 * MEGABYTE)
+        self.start_taking(ordinary, 115_000)
+        first.close()
+        wait_for(lambda: ordinary.size == 115_000, "the memory")
+        self.assertTrue(largest.is_waiting)
+
+    def test_nothing_gives_way_to_a_body_behind_one_that_does_not_fit(self):
+        """The memory was freed, but not for the body that made another one end."""
+        self.open().take(55 * MEGABYTE, 0)
+        stalled = self.open_stalled(MemoryKind.BODY, 14 * MEGABYTE)
+        self.start_taking(self.open(), 64 * MEGABYTE)
+        with self.assertRaises(MemoryRefused):
+            self.open().take(2 * MEGABYTE, 300)
+        self.assertFalse(stalled.is_revoked)
+
+    def start_taking(self, hold, size):
+        """Let a hold wait for memory, in a thread that ends before the holds do."""
+
+        def take():
+            with contextlib.suppress(MemoryRefused):
+                hold.take(size, 3_000)
+
+        thread = threading.Thread(target=take, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join)
+        wait_for(lambda: hold.is_waiting, "the wait")
+
     def test_trickle_is_no_progress(self):
         hold = self.open()
         hold.take(64 * MEGABYTE, 0)
