Check the line of a chunk in the same way however it arrives

A CR or LF within the line was accepted if the reader had buffered the chunk whole, and rejected if it came in parts; so was a line over the limit. Only spaces and tabs around the size are ignored, no other control characters.

--- a/damaskdyke/gateway/bodies.py
+++ b/damaskdyke/gateway/bodies.py
@@ -212,9 +212,13 @@
     Raises
     ------
     BodyError
-        If there is none.
+        If there is none, or the line is too long or has a CR or LF before its end:
+        another recipient may take that for the end of the line.
     """
-    text = line.split(b";", 1)[0].strip()
+    content = line.removesuffix(CRLF)
+    if len(line) > MAX_LINE_BYTES or b"\r" in content or b"\n" in content:
+        raise BodyError(BodyFault.MALFORMED)
+    text = content.split(b";", 1)[0].strip(b" \t")
     if not CHUNK_SIZE.fullmatch(text):
         raise BodyError(BodyFault.MALFORMED)
     return int(text, 16)
--- a/tests/gateway/test_bodies.py
+++ b/tests/gateway/test_bodies.py
@@ -1,6 +1,7 @@
 """Tests of the memory budget and of bodies in chunks."""
 
 import contextlib
+import io
 import threading
 import unittest
 from unittest import mock
@@ -284,6 +285,33 @@
                 self.assertEqual(read_answers(connection, 2)[0][0], 400)
         self.assertEqual(self.count_runs(), 0)
 
+    def test_line_of_a_chunk_is_checked_however_it_arrives(self):
+        """A line that was buffered with its chunk was accepted, in parts rejected."""
+        long_line = b"5;" + b"a" * bodies.MAX_LINE_BYTES
+        for line in (
+            b"5;a\nxx",
+            b"\n5",
+            b"5\n",
+            b"5;a\rxx",
+            b"5\r",
+            b"\r5",
+            b"\x0b5",
+            b"5\x0c",
+            long_line,
+        ):
+            chunk = line + b"\r\nhello\r\n0\r\n\r\n"
+            # A reader of this size holds the line and its chunk, or less than the line.
+            for buffer_size in (2 * bodies.MAX_LINE_BYTES, 1):
+                with self.subTest(line=line[:10], buffer_size=buffer_size):
+                    rfile = io.BufferedReader(io.BytesIO(chunk), buffer_size)
+                    with self.assertRaises(bodies.BodyError) as caught:
+                        bodies.read_chunks(mock.Mock(rfile=rfile), mock.Mock())
+                    fault = caught.exception.fault
+                    self.assertEqual(fault, bodies.BodyFault.MALFORMED)
+
+    def test_spaces_and_tabs_around_the_size_of_a_chunk_are_ignored(self):
+        self.assertEqual(bodies.parse_chunk_size(b" 1f\t ;a=b\r\n"), 31)
+
     def test_line_without_an_end_is_rejected(self):
         connection = self.send_chunks(b"1" * bodies.MAX_LINE_BYTES)
         self.assertEqual(read_answers(connection, 2)[0][0], 400)
