Check again that a connection is quiet before it is evicted

A connection on which a request began, or became whole, between the choice and the eviction was still ended, also if the request was passed on meanwhile. The check and the changes of the connection's state now share its lock.

--- a/damaskdyke/gateway/callers.py
+++ b/damaskdyke/gateway/callers.py
@@ -18,6 +18,7 @@
 from damaskdyke.core.clock import Clock, Millis
 from damaskdyke.gateway.memory import (
     MAX_WAIT_MS,
+    STALL_MS,
     MemoryHold,
     MemoryKind,
     MemoryRefused,
@@ -322,8 +323,9 @@
         now = self._clock.now()
         self.arrived_at = now if self._unread_since is None else self._unread_since
         self._unread_since = None
-        self.quiet_since = now
-        self.has_partial_request = True
+        with self._lock:
+            self.quiet_since = now
+            self.has_partial_request = True
         self.limit_read(read_timeout_ms)
         number = self.pipeline.begin()
         if number is not None:
@@ -362,8 +364,9 @@
 
     def await_request(self) -> None:
         """Record that no request is there."""
-        self.quiet_since = self._clock.now()
-        self.has_partial_request = False
+        with self._lock:
+            self.quiet_since = self._clock.now()
+            self.has_partial_request = False
 
     def get_quiet_ms(self, now: Millis) -> int:
         """Return for how long the caller has kept the connection without progress.
@@ -387,6 +390,18 @@
         """Return whether a request, or a part of one, is there."""
         return self.quiet_since is None or self.has_partial_request
 
+    def evict_if_quiet(self) -> bool:
+        """End the connection if it is idle or stalled; return whether it ends.
+
+        The lock keeps a request from beginning, or becoming whole, after the check.
+        """
+        with self._lock:
+            quiet_ms = self.get_quiet_ms(self._clock.now())
+            if not quiet_ms or (self.has_request() and quiet_ms < STALL_MS):
+                return False
+            self.evict()
+        return True
+
     def evict(self) -> None:
         """End the connection; requests that are not passed on yet never are."""
         self.pipeline.mark_caller_gone()
@@ -408,8 +423,9 @@
 
     def end_reading(self) -> None:
         """Give the reading role up, as the present request was read whole."""
-        self.quiet_since = None
-        self.has_partial_request = False
+        with self._lock:
+            self.quiet_since = None
+            self.has_partial_request = False
         if self.rfile.has_data():
             self._unread_since = self._clock.now()
         self.pipeline.release_reading()
--- a/damaskdyke/gateway/crowding.py
+++ b/damaskdyke/gateway/crowding.py
@@ -42,8 +42,8 @@
     def has_request(self) -> bool:
         """Return whether a request, or a part of one, is there."""
 
-    def evict(self) -> None:
-        """End the connection."""
+    def evict_if_quiet(self) -> bool:
+        """End the connection, unless it has come into use; return whether it ends."""
 
 
 class ConnectionTable:
@@ -88,19 +88,22 @@
                 if victim is None or self._clock.now() >= deadline:
                     self.refused_count += 1
                     break
-                self._connections.remove(victim)
+                quiet_ms = victim.get_quiet_ms(self._clock.now())
+                has_request = victim.has_request()
+                # A request may have arrived since the choice.
+                if not victim.evict_if_quiet():
+                    continue
+                self._connections.discard(victim)
                 self.evicted_count += 1
-            quiet_ms = victim.get_quiet_ms(self._clock.now())
             log_event(
                 logger,
                 "connection-evicted",
                 logging.WARNING,
                 quiet_ms=quiet_ms,
-                has_request=victim.has_request(),
+                has_request=has_request,
                 connections=self._count,
                 limit=self.max_connections,
             )
-            victim.evict()
             with self._changed:
                 wait_ms = max(0, deadline - self._clock.now())
                 self._changed.wait_for(lambda: not self._is_full(), wait_ms / 1_000)
--- a/tests/gateway/test_bodies.py
+++ b/tests/gateway/test_bodies.py
@@ -214,9 +214,10 @@
         def has_request(self):
             return self.is_partial
 
-        def evict(self):
+        def evict_if_quiet(self):
             self.is_evicted = True
             self.table.remove(self)
+            return True
 
     def admit(self, table, *connections):
         for item in connections:
--- a/tests/gateway/test_pipelining.py
+++ b/tests/gateway/test_pipelining.py
@@ -15,6 +15,7 @@
     CallerDisconnected,
     CallerWatch,
 )
+from damaskdyke.gateway.crowding import ConnectionTable
 from damaskdyke.gateway.instruments import Instruments
 from damaskdyke.gateway.memory import MemoryBudget
 from damaskdyke.gateway.pipeline import MAX_REQUESTS_AHEAD, Pipeline
@@ -280,6 +281,45 @@
         self.assertEqual(self.read_after_a_pause(connection), 1_000)
 
 
+class EvictionTest(PipeliningCase):
+    def test_request_after_the_choice_keeps_its_connection(self):
+        """A connection was evicted although a request had begun after the choice."""
+        connection = self.open_connection()
+        table = ConnectionTable(1, self.manual_clock)
+        self.assertTrue(table.admit())
+        table.add(connection)
+        self.manual_clock.advance(5_000)
+        choose = table._choose_victim
+
+        def choose_before_a_request():
+            victim = choose()
+            if victim is connection:
+                connection.begin_request(1_000)
+            return victim
+
+        with mock.patch.object(table, "_choose_victim", choose_before_a_request):
+            self.assertFalse(table.admit())
+        self.assertTrue(connection.pipeline.is_wanted(connection.reading_number))
+        self.assertEqual(table.evicted_count, 0)
+
+    def test_request_that_became_whole_keeps_its_connection(self):
+        """A stalled request may have run by the time its connection was evicted."""
+        connection = self.open_connection()
+        connection.begin_request(1_000)
+        self.manual_clock.advance(5_000)
+        connection.end_reading()
+        self.assertFalse(connection.evict_if_quiet())
+        self.assertFalse(connection.pipeline.is_caller_gone)
+
+    def test_stalled_connection_ends(self):
+        connection = self.open_connection()
+        connection.begin_request(1_000)
+        self.assertFalse(connection.evict_if_quiet())
+        self.manual_clock.advance(5_000)
+        self.assertTrue(connection.evict_if_quiet())
+        self.assertTrue(connection.pipeline.is_caller_gone)
+
+
 class CallerLimitsTest(PipeliningCase):
     def test_head_a_byte_at_a_time_ends_at_the_header_timeout(self):
         self.server.get_header_timeout_ms = lambda: 300
