--- a/damaskdyke/gateway/memory.py
+++ b/damaskdyke/gateway/memory.py
@@ -10,7 +10,7 @@
 import mmap
 import threading
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from enum import Enum, StrEnum
 
 from damaskdyke.conf.vm import DEFAULT_MEMORY_MB
@@ -41,6 +41,9 @@
 SINGLE_BODY_SHARE = 15 / 16
 # A body of unknown length takes memory in steps of this size.
 STEP_BYTES = 1024 * 1024
+# Holds that wait for at most this pass one that does not fit: a body of 64 MB kept all
+# those over 64 KB waiting.
+MAX_PASSING_BYTES = 1024 * 1024
 # Longest wait of a request's body for memory, and its limit as a part of the deadline:
 # the caller needs the rest for a retry.
 MAX_WAIT_MS = 1_000
@@ -52,6 +55,9 @@
 # which any of them does: hundreds may wait.
 WAIT_SLICE_MS = 200
 SCAN_INTERVAL_MS = 50
+# Part of its wait after which a waiting request body makes stalled bodies give way, and
+# a waiting reply stalled replies: a caller that only paused may go on meanwhile.
+REVOKE_WAIT_SHARE = 0.5
 # Retry-After of a refusal: callers without progress have given way by then.
 RETRY_AFTER_MS = 500
 # A caller counts as stalled if it has transferred less than the larger of a number of
@@ -277,13 +283,15 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._holds: set[MemoryHold] = set()
-        # In the order of arrival; one that does not fit keeps those behind it waiting.
+        # In the order of arrival; one that does not fit keeps those behind it waiting
+        # that want more than ``MAX_PASSING_BYTES``.
         self._waiters: dict[Share, deque[Waiter]] = {share: deque() for share in Share}
         self._held = dict.fromkeys(MemoryKind, 0)
         self._total = 0
         # What the waiting holds want, and when stalled holds were last looked for.
         self._wanted = 0
-        self._scanned_at = Millis(clock.now() - SCAN_INTERVAL_MS)
+        # By kind of the waiting hold, and whether it has waited for its part.
+        self._scanned_at: dict[tuple[MemoryKind, bool], Millis] = {}
         # Bodies that were refused, and transfers that gave way, since the start.
         self.refused_count = 0
         self.revoked_count = 0
@@ -321,7 +329,8 @@
         """Take memory for a hold, see :meth:`MemoryHold.take`."""
         queue = self._waiters[get_share(hold, count)]
         with self._lock:
-            if not queue and self._take(hold, count):
+            may_take = not queue or count <= MAX_PASSING_BYTES
+            if may_take and self._take(hold, count):
                 return
             waiter = Waiter(hold, count)
             queue.append(waiter)
@@ -361,12 +370,19 @@
     ) -> None:
         hold, count = waiter.hold, waiter.count
         started_at = self._clock.now()
+        patient_ms = wait_ms * REVOKE_WAIT_SHARE
         while True:
+            waited_ms = self._clock.now() - started_at
             with self._lock:
                 self._grant()
                 if waiter.granted.is_set():
                     return
-                stalled = self._revoke_stalled(hold, count)
+                stalled = []
+                # Memory that is freed for one that may not take it yet is lost.
+                queue = self._waiters[get_share(hold, count)]
+                if queue[0] is waiter or count <= MAX_PASSING_BYTES:
+                    has_waited = waited_ms >= patient_ms
+                    stalled = self._revoke_stalled(hold, count, has_waited)
                 is_first = self._is_first_to_grow(hold)
             self._end_transfers(stalled)
             waited_ms = self._clock.now() - started_at
@@ -375,8 +391,9 @@
             if check is not None:
                 check()
             slice_ms = min(WAIT_SLICE_MS, wait_ms * FIRST_WAIT_FACTOR - waited_ms)
-            if waited_ms < wait_ms:
-                slice_ms = min(slice_ms, wait_ms - waited_ms)
+            for limit_ms in (patient_ms, wait_ms):
+                if waited_ms < limit_ms:
+                    slice_ms = min(slice_ms, limit_ms - waited_ms)
             if waiter.granted.wait(slice_ms / 1_000):
                 return
         with self._lock:
@@ -410,6 +427,11 @@
         for queue in self._waiters.values():
             while queue and self._take(queue[0].hold, queue[0].count):
                 queue.popleft().granted.set()
+            for waiter in list(queue)[1:]:
+                may_pass = waiter.count <= MAX_PASSING_BYTES
+                if may_pass and self._take(waiter.hold, waiter.count):
+                    queue.remove(waiter)
+                    waiter.granted.set()
 
     def _take(self, hold: MemoryHold, count: int) -> bool:
         if self._compute_excess(hold, count) > 0:
@@ -420,16 +442,23 @@
         self._total += count
         return True
 
-    def _compute_excess(self, hold: MemoryHold, count: int) -> int:
-        """Return by how many bytes too few are free for a hold to take more."""
-        total = self._total + count
+    def _compute_excess(
+        self, hold: MemoryHold, count: int, gone: Collection[MemoryHold] = ()
+    ) -> int:
+        """Return by how many bytes too few are free for a hold to take more.
+
+        ``gone`` are holds whose memory counts as free.
+        """
+        total = self._total + count - sum(x.size for x in gone)
         share = get_share(hold, count)
         if share is Share.REPLY:
             return total - self.max_bytes
         if share is Share.SMALL_BODY:
             return total - int(self.max_bytes * SMALL_BODY_SHARE)
         excess = total - int(self.max_bytes * LARGE_BODY_SHARE)
-        if excess <= 0 or any(x.is_large for x in self._holds if x is not hold):
+        if excess <= 0 or any(
+            x.is_large for x in self._holds if x is not hold and x not in gone
+        ):
             return excess
         return total - int(self.max_bytes * SINGLE_BODY_SHARE)
 
@@ -442,31 +471,42 @@
         )
 
     def _revoke_stalled(
-        self, hold: MemoryHold, count: int
+        self, hold: MemoryHold, count: int, has_waited: bool
     ) -> list[tuple[MemoryHold, int]]:
         """Return the holds that give way, with the time without progress of each.
 
-        Those without progress for the longest come first, and only as many as all that
-        wait need.
+        Bodies of requests come first, of these the ones without progress for the
+        longest, and only as many as the waiting hold needs; none if all of them are too
+        few. A reply never gives way to the body of a request: its order has run, while
+        the body can be refused without loss.
         """
+        is_reply = hold.kind is MemoryKind.REPLY
+        if not (has_waited or is_reply):
+            return []
         now = self._clock.now()
-        if now - self._scanned_at < SCAN_INTERVAL_MS:
+        scanned_at = self._scanned_at.get((hold.kind, has_waited))
+        if scanned_at is not None and now - scanned_at < SCAN_INTERVAL_MS:
             return []
-        self._scanned_at = now
-        missing = self._compute_excess(hold, count) + self._wanted - count
-        missing -= sum(x.size for x in self._holds if x.is_revoked)
+        self._scanned_at[hold.kind, has_waited] = now
+        may_end_replies = is_reply and has_waited
+        gone = {x for x in self._holds if x.is_revoked}
         stalled = [
             (other.get_stalled_ms(now), other)
             for other in self._holds
-            if other is not hold and other.get_stalled_ms(now) >= STALL_MS
+            if other is not hold
+            and (other.kind is MemoryKind.BODY or may_end_replies)
+            and other.get_stalled_ms(now) >= STALL_MS
         ]
-        stalled.sort(key=lambda item: -item[0])
+        stalled.sort(key=lambda item: (item[1].kind is MemoryKind.REPLY, -item[0]))
+        all_gone = gone.union(other for _, other in stalled)
+        if self._compute_excess(hold, count, all_gone) > 0:
+            return []
         revoked = []
         for stalled_ms, other in stalled:
-            if missing <= 0:
+            if self._compute_excess(hold, count, gone) <= 0:
                 break
             other.is_revoked = True
-            missing -= other.size
+            gone.add(other)
             self.revoked_count += 1
             revoked.append((other, stalled_ms))
         return revoked
--- a/tests/gateway/test_bodies.py
+++ b/tests/gateway/test_bodies.py
@@ -1,5 +1,7 @@
 """Tests of the memory budget and of bodies in chunks."""
 
+import contextlib
+import io
 import threading
 import unittest
 from unittest import mock
@@ -75,6 +77,99 @@
         self.assertEqual(caught.exception.reason, RefusalReason.NO_PROGRESS)
         self.assertEqual(self.budget.revoked_count, 1)
 
+    def open_stalled(self, kind, size):
+        hold = self.open(kind)
+        hold.take(size, 0)
+        hold.allow_revoking(hold.close)
+        hold._progress_at -= 2 * STALL_MS
+        return hold
+
+    def test_reply_does_not_give_way_to_the_body_of_a_request(self):
+        """A reply of an order that has run was cut for a body that could be refused."""
+        reply = self.open_stalled(MemoryKind.REPLY, 60 * MEGABYTE)
+        with self.assertRaises(MemoryRefused):
+            self.open().take(60 * MEGABYTE, 100)
+        self.assertFalse(reply.is_revoked)
+
+    def test_body_gives_way_only_after_a_part_of_the_wait(self):
+        """An upload that paused for less than a second was refused at once."""
+        stalled = self.open_stalled(MemoryKind.BODY, 60 * MEGABYTE)
+        started_at = self.clock.now()
+        self.open().take(60 * MEGABYTE, 400)
+        self.assertTrue(stalled.is_revoked)
+        self.assertGreaterEqual(self.clock.now() - started_at, 200)
+
+    def test_stalled_reply_gives_way_to_a_reply_after_bodies(self):
+        """A reply was cut although a body without progress held enough."""
+        body = self.open_stalled(MemoryKind.BODY, 40 * MEGABYTE)
+        reply = self.open_stalled(MemoryKind.REPLY, 50 * MEGABYTE)
+        reply._progress_at -= STALL_MS
+        self.open(MemoryKind.REPLY).take(40 * MEGABYTE, 400)
+        self.assertTrue(body.is_revoked)
+        self.assertFalse(reply.is_revoked)
+        started_at = self.clock.now()
+        self.open(MemoryKind.REPLY).take(40 * MEGABYTE, 400)
+        self.assertTrue(reply.is_revoked)
+        self.assertGreaterEqual(self.clock.now() - started_at, 200)
+
+    def test_nothing_gives_way_if_it_would_not_be_enough(self):
+        """Both were lost: the stalled body, and the one that it was too small for."""
+        self.open().take(50 * MEGABYTE, 0)
+        stalled = self.open_stalled(MemoryKind.BODY, 10 * MEGABYTE)
+        with self.assertRaises(MemoryRefused):
+            self.open().take(40 * MEGABYTE, 100)
+        self.assertFalse(stalled.is_revoked)
+        self.open().take(15 * MEGABYTE, 100)
+        self.assertTrue(stalled.is_revoked)
+
+    def test_only_large_body_may_count_on_the_end_of_all_others(self):
+        """It fits into its larger share only once no other large body is held."""
+        stalled = self.open_stalled(MemoryKind.BODY, 30 * MEGABYTE)
+        self.open().take(85 * MEGABYTE, 100)
+        self.assertTrue(stalled.is_revoked)
+
+    def test_bodies_of_ordinary_size_pass_one_that_does_not_fit(self):
+        """All bodies over 64 KB were refused with 19 MB free."""
+        other, largest, behind = self.open(), self.open(), self.open()
+        other.take(30 * MEGABYTE, 0)
+        self.start_taking(largest, 64 * MEGABYTE)
+        self.start_taking(behind, MEGABYTE + 1)
+        for _ in range(10):
+            self.open().take(115_000, 0)
+        self.assertTrue(largest.is_waiting and behind.is_waiting)
+
+    def test_waiting_body_of_ordinary_size_passes_one_that_does_not_fit(self):
+        """It waited behind the largest one although memory became free."""
+        first, other, largest, ordinary = (self.open() for _ in range(4))
+        first.take(39 * MEGABYTE, 0)
+        other.take(31 * MEGABYTE, 0)
+        self.start_taking(largest, 64 * MEGABYTE)
+        self.start_taking(ordinary, 115_000)
+        first.close()
+        wait_for(lambda: ordinary.size == 115_000, "the memory")
+        self.assertTrue(largest.is_waiting)
+
+    def test_nothing_gives_way_to_a_body_behind_one_that_does_not_fit(self):
+        """The memory was freed, but not for the body that made another one end."""
+        self.open().take(55 * MEGABYTE, 0)
+        stalled = self.open_stalled(MemoryKind.BODY, 14 * MEGABYTE)
+        self.start_taking(self.open(), 64 * MEGABYTE)
+        with self.assertRaises(MemoryRefused):
+            self.open().take(2 * MEGABYTE, 300)
+        self.assertFalse(stalled.is_revoked)
+
+    def start_taking(self, hold, size):
+        """Let a hold wait for memory, in a thread that ends before the holds do."""
+
+        def take():
+            with contextlib.suppress(MemoryRefused):
+                hold.take(size, 3_000)
+
+        thread = threading.Thread(target=take, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join)
+        wait_for(lambda: hold.is_waiting, "the wait")
+
     def test_trickle_is_no_progress(self):
         hold = self.open()
         hold.take(64 * MEGABYTE, 0)
@@ -119,9 +214,10 @@
         def has_request(self):
             return self.is_partial
 
-        def evict(self):
+        def evict_if_quiet(self):
             self.is_evicted = True
             self.table.remove(self)
+            return True
 
     def admit(self, table, *connections):
         for item in connections:
@@ -190,6 +286,33 @@
                 self.assertEqual(read_answers(connection, 2)[0][0], 400)
         self.assertEqual(self.count_runs(), 0)
 
+    def test_line_of_a_chunk_is_checked_however_it_arrives(self):
+        """A line that was buffered with its chunk was accepted, in parts rejected."""
+        long_line = b"5;" + b"a" * bodies.MAX_LINE_BYTES
+        for line in (
+            b"5;a\nxx",
+            b"\n5",
+            b"5\n",
+            b"5;a\rxx",
+            b"5\r",
+            b"\r5",
+            b"\x0b5",
+            b"5\x0c",
+            long_line,
+        ):
+            chunk = line + b"\r\nhello\r\n0\r\n\r\n"
+            # A reader of this size holds the line and its chunk, or less than the line.
+            for buffer_size in (2 * bodies.MAX_LINE_BYTES, 1):
+                with self.subTest(line=line[:10], buffer_size=buffer_size):
+                    rfile = io.BufferedReader(io.BytesIO(chunk), buffer_size)
+                    with self.assertRaises(bodies.BodyError) as caught:
+                        bodies.read_chunks(mock.Mock(rfile=rfile), mock.Mock())
+                    fault = caught.exception.fault
+                    self.assertEqual(fault, bodies.BodyFault.MALFORMED)
+
+    def test_spaces_and_tabs_around_the_size_of_a_chunk_are_ignored(self):
+        self.assertEqual(bodies.parse_chunk_size(b" 1f\t ;a=b\r\n"), 31)
+
     def test_line_without_an_end_is_rejected(self):
         connection = self.send_chunks(b"1" * bodies.MAX_LINE_BYTES)
         self.assertEqual(read_answers(connection, 2)[0][0], 400)
