--- a/damaskdyke/fleet/zone_rates.py
+++ b/damaskdyke/fleet/zone_rates.py
@@ -115,7 +115,7 @@
         ips = [self._gossip.ip, *(member.ip for member in zone)]
         if self._gossip.ip not in rank_by_score("rates", ips)[:ANNOUNCERS_PER_ZONE]:
             return
-        receivers = [self._random.choice(found).ip for found in other_zones.values()]
+        receivers = [self._random.choice(found) for found in other_zones.values()]
         for group in split_rates(rates):
             self._gossip.send_zone_rates(group, receivers)
 
