--- a/damaskdyke/fleet/reports.py
+++ b/damaskdyke/fleet/reports.py
@@ -59,6 +59,12 @@
         none, ``None`` if the report is not about that.
     workspace : WorkspaceName or None
         Workspace whose request is sent, on the first send of a request that has one.
+    body_bytes : int or None
+        Bytes of large bodies of the reporting proxy in flight there, ``None`` if the
+        report is not about a request with a large body.
+    ended_bytes : int or None
+        Bytes of large bodies in flight there when the upstream crashed, ``None`` if the
+        report is not about that.
     """
 
     upstream: UpstreamId
@@ -72,6 +78,8 @@
     is_foreign: bool = False
     rate_limit: float | None = None
     workspace: WorkspaceName | None = None
+    body_bytes: int | None = None
+    ended_bytes: int | None = None
 
 
 def encode_report(report: LoadReport) -> UpstreamNews:
@@ -88,6 +96,8 @@
         report.is_foreign,
         report.rate_limit,
         report.workspace,
+        report.body_bytes,
+        report.ended_bytes,
     )
 
 
@@ -111,9 +121,15 @@
         bool(message.is_foreign),
         message.rate_limit,
         message.workspace,
+        message.body_bytes,
+        message.ended_bytes,
     )
 
 
 def is_for_every_zone(report: LoadReport) -> bool:
-    """Return whether other zones are told too: of a fault or a rate limit."""
-    return report.outcome in BAD_OUTCOMES or report.rate_limit is not None
+    """Return whether other zones are told too: of a fault, a rate limit or a crash."""
+    return (
+        report.outcome in BAD_OUTCOMES
+        or report.rate_limit is not None
+        or report.ended_bytes is not None
+    )
