--- a/damaskdyke/dispatch/upload_load.py
+++ b/damaskdyke/dispatch/upload_load.py
@@ -32,9 +32,9 @@
 MAX_DOUBLINGS = 6
 # Part of the limit from which other proxies must know of a change at once.
 SCARCE_SHARE = 0.5
-# A peer's count expires if no report of the peer on the upstream renews it. That is
-# longer than the 4 s of a count of requests, as an upload to an upstream that reads
-# slowly may last longer without a further report.
+# A peer's count expires if no report on a large body renews it. That is longer than the
+# 4 s of a count of requests, as an upload to an upstream that reads slowly may last
+# longer without a further report.
 PEER_BYTES_TTL_MS = 10_000
 # A report that was received this long ago orders no later one: the clock of a VM that
 # lost power begins anew.
@@ -168,26 +168,23 @@
         Parameters
         ----------
         body_bytes : int or None
-            The count, ``None`` if the report is about a small body. The last count is
-            then renewed, or is 0 if the peer has no request in flight.
+            The count, ``None`` if the report is about a small body. It then shows only
+            that the count is 0 if the peer has no request in flight: it must not renew
+            a count whose end was not received.
         in_flight : int
             Requests of the peer in flight to the upstream.
         reported_at, now : Millis
             Time of the report by the peer's clock, and of its receipt.
         """
-        counts = self._peers.get(upstream)
-        if body_bytes is None and (counts is None or peer not in counts):
+        if not in_flight:
+            body_bytes = 0 if upstream in self._peers else body_bytes
+        if body_bytes is None:
             return
-        if counts is None:
-            counts = self._peers[upstream] = {}
+        counts = self._peers.setdefault(upstream, {})
         last = counts.get(peer)
         if last is not None and last.reported_at > reported_at:
             if last.received_at >= now - PEER_ORDER_MS:
                 return
-        if not in_flight:
-            body_bytes = 0
-        elif body_bytes is None:
-            body_bytes = last.body_bytes
         counts[peer] = PeerBytes(body_bytes, reported_at, now)
 
     def drop_peer(self, peer: str) -> None:
