--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -49,6 +49,17 @@
                 self.assertEqual(self.upstream.bodies.pop(), LONG_BODY)
 
 
+class BodyMemoryTest(GatewayCase):
+    def test_body_of_an_upload_is_not_copied_to_be_written(self):
+        """A body of 60 KB, a usual upload, was held twice while it was written."""
+        body = memoryview(bytearray(60_000))
+        connection = UpstreamConnection(self.upstream.describe(), 1_000, self.clock)
+        self.addCleanup(connection.close)
+        with mock.patch.object(connection, "write_rest"):
+            connection.send("POST", "/p/x", [], body, 1_000)
+        self.assertIs(connection._unwritten[-1].obj, body.obj)
+
+
 class ReplyMemoryTest(GatewayCase):
     """Bytes without end were kept until a proxy ran out of memory."""
 
--- a/tests/gateway/test_uploads.py
+++ b/tests/gateway/test_uploads.py
@@ -19,12 +19,13 @@
 )
 from damaskdyke.gateway.dispatcher import Dispatcher, Waiter
 from damaskdyke.gateway.messages import AnswerKind
-from damaskdyke.testbed.instance import LONG_BODY_BYTES, Behaviour
+from damaskdyke.testbed.instance import Behaviour
 from damaskdyke.testbed.processes import wait_for
 from damaskdyke.workspaces.fairness import make_rank
 from tests.gateway.cases import SETTINGS, GatewayCase, RecordingGossip, make_route
 
-LONG_BODY = b"one impeller, not the other\n" * (LONG_BODY_BYTES // 28 + 1)
+# Does not fit into the buffers of a connection.
+LONG_BODY = b"one impeller, not the other\n" * 1_000_000
 LARGE = 512 * KILOBYTE
 PEER = "10.0.0.9"
 
@@ -84,7 +85,7 @@
     def test_reserved_slot_is_left_to_short_orders(self):
         """Uploads took all slots of an upstream, those for urgent requests too."""
         for _ in range(4):
-            self.start_upload(deadline_ms=4_000)
+            self.start_upload(b"x" * LARGE, deadline_ms=4_000)
         wait_for(lambda: len(self.dispatcher._get_state("desk").queue) == 2, "waits")
         self.assertEqual(self.dispatcher._in_flight.get_own("u1"), 3)
         self.assertEqual(self.order().status, 200)
@@ -123,12 +124,26 @@
         self.assertEqual(sum(item.connections for item in self.instances), 1)
         self.assertEqual(self.count_bytes(), 0)
 
+    def test_half_written_upload_is_not_sent_again_after_a_reset(self):
+        """There is time left for a second send, unlike at the deadline."""
+        for item in self.instances:
+            item.behaviour = Behaviour.BODY_RESET
+            item.body_release = self.upstream.body_release
+        thread = self.start_upload()
+        begun = [item.body_begun for item in self.instances]
+        wait_for(lambda: any(event.is_set() for event in begun), "the upload")
+        self.upstream.body_release.set()
+        thread.join(10)
+        self.assertEqual(self.answers[0].kind, AnswerKind.UNKNOWN)
+        self.assertEqual(sum(event.is_set() for event in begun), 1)
+
 
 class CrashTest(UploadCase):
     """An upstream crashed with each new upload, as nothing limited them."""
 
     def setUp(self):
         super().setUp()
+        self.upstream.body_release.set()
         self.upstream.behaviour = Behaviour.RESET
         self.threads = [self.start_upload(b"x" * MEGABYTE) for _ in range(3)]
         wait_for(lambda: len(self.upstream.runs) == 3, "the runs")
@@ -162,8 +177,9 @@
         self.upstream.__exit__()
         # Ends the connections that the checks have opened.
         self.pool.close_unused(set())
-        self.lookup(deadline_ms=200)
+        self.start_upload(b"x" * LARGE, deadline_ms=200).join(10)
         self.assertEqual(self.get_limit(), 3 * MEGABYTE // 2)
+        self.assertEqual(self.count_bytes(), 0, "the upload was not sent")
 
     def test_whole_fleet_learns_the_limit_from_one_crash(self):
         self.upstream.__exit__()
@@ -179,6 +195,20 @@
             self.assertEqual(self.get_limit(other), 3 * MEGABYTE // 2)
 
 
+class BrokenReplyTest(UploadCase):
+    def test_upstream_that_has_begun_to_reply_has_not_crashed_with_the_upload(self):
+        """Any upstream that restarts within a reply would lower the limit."""
+        self.upstream.body_release.set()
+        self.upstream.behaviour = Behaviour.EARLY_RESET
+        thread = self.start_upload(b"x" * 2 * MEGABYTE)
+        wait_for(lambda: self.upstream.runs, "the begin of the reply")
+        self.upstream.__exit__()
+        self.upstream.release.set()
+        thread.join(10)
+        self.assertEqual(self.answers[0].kind, AnswerKind.UNKNOWN)
+        self.assertEqual(self.get_limit(), INITIAL_LIMIT_BYTES)
+
+
 class ReportTest(GatewayCase):
     def setUp(self):
         super().setUp()
@@ -220,6 +250,12 @@
         counts = [report.body_bytes for report in self.gossip.reports]
         self.assertEqual(counts, [LARGE, None, None])
 
+    def test_report_of_a_stall_renews_the_count(self):
+        """The count of a long upload expired at the peers."""
+        choice = self.dispatcher.begin_send("desk", make_upload())
+        self.dispatcher.record_stall(choice.instance, 500, LARGE)
+        self.assertEqual(self.gossip.reports[-1].body_bytes, LARGE)
+
     def test_change_near_the_limit_is_reported_at_once(self):
         """Peers send uploads to the same upstream until they know of the others."""
         self.dispatcher.begin_send("desk", make_upload())
