--- a/damaskdyke/dispatch/upload_load.py
+++ b/damaskdyke/dispatch/upload_load.py
@@ -134,6 +134,11 @@
 
     # Bytes in flight.
 
+    @property
+    def has_peer_counts(self) -> bool:
+        """Return whether any peer has reported bytes; most fleets have no uploads."""
+        return bool(self._peers)
+
     def add_own(self, upstream: UpstreamKey, change: int) -> int:
         """Add the body of a send that begins, or subtract that of one that has ended.
 
