--- a/damaskdyke/workspaces/quotas.py
+++ b/damaskdyke/workspaces/quotas.py
@@ -31,6 +31,10 @@
 # Part of the slack that all zones together may run in each window beyond the rate, so
 # that an uneven spread does not refuse requests of a workspace with a small quota.
 REFILL_SHARE = 0.2
+# Time since the start of the process for which the zone's share is credited, less the
+# sends that are known, once the fleet is known: until then proxies use small parts of
+# it, and most requests after a restart of the whole fleet were refused.
+START_CREDIT_MS = 1_000
 # Reserve, in time at the zone's share of the rate. Below it, requests are admitted with
 # a probability that falls with the level, as peers may take the same tokens.
 RESERVE_SECONDS = 0.6
@@ -152,6 +156,8 @@
         Time up to which they are decayed.
     announced_since : Millis or None
         Since when the zone announces the workspace, ``None`` while it does not.
+    early_sends : int
+        Sends of the zone that were counted before the fleet was known.
     """
 
     rate: float
@@ -162,6 +168,7 @@
     counted_at: Millis
     sends: float = 0.0
     announced_since: Millis | None = None
+    early_sends: int = 0
 
 
 class QuotaTable:
@@ -301,6 +308,7 @@
         as the process lives: it may run requests while this proxy is cut off from it.
         """
         zones = self._heard_zones | fleet.zones
+        was_size_known = self._fleet.is_size_known
         if fleet.is_size_known:
             self._heard_zones = zones
         self._fleet = FleetView(
@@ -308,6 +316,8 @@
         )
         self._expire_zone_rates(now)
         self._update_shares(now)
+        if fleet.is_size_known and not was_size_known:
+            self._credit_start(now)
         idle = [
             name for name, bucket in self._buckets.items() if self._is_idle(bucket, now)
         ]
@@ -350,6 +360,8 @@
         # smaller view of the zone than the peers have, who repay what they run.
         floor = -bucket.share * self._bounds.quota_window_ms / MILLIS_PER_SECOND
         bucket.level = max(bucket.level - 1, min(floor, -1))
+        if not self._fleet.is_size_known:
+            bucket.early_sends += 1
         bucket.sends = self._decay_sends(bucket, now) + 1
         bucket.counted_at = now
 
@@ -364,18 +376,30 @@
             workspace.rate_per_second, workspace.burst, 0.0, 0.0, self._started_at, now
         )
         bucket.share = self._compute_share(name, bucket, now)
-        tolerance = self._compute_over(bucket) + self._bounds.quota_slack
-        bucket.level = self._get_part(START_SHARE * tolerance)
+        bucket.level = self._get_start_level(bucket)
         self._refill(bucket, now)
         self._buckets[name] = bucket
         return bucket
 
+    def _get_start_level(self, bucket: Bucket) -> float:
+        tolerance = self._compute_over(bucket) + self._bounds.quota_slack
+        return self._get_part(START_SHARE * tolerance)
+
     def _refill(self, bucket: Bucket, now: Millis) -> None:
         elapsed_seconds = max(0, now - bucket.updated_at) / MILLIS_PER_SECOND
         level = bucket.level + bucket.share * elapsed_seconds
         bucket.level = min(level, self._compute_capacity(bucket))
         bucket.updated_at = now
 
+    def _credit_start(self, now: Millis) -> None:
+        """Fill the buckets as if the fleet had been known since the start."""
+        elapsed_ms = min(START_CREDIT_MS, max(0, now - self._started_at))
+        for name, bucket in self._buckets.items():
+            credit = bucket.share * elapsed_ms / MILLIS_PER_SECOND
+            level = self._get_start_level(bucket) + credit - bucket.early_sends
+            bucket.level = max(bucket.level, level)
+            self._update_share(name, bucket, now)
+
     def _is_idle(self, bucket: Bucket, now: Millis) -> bool:
         if bucket.level < self._compute_capacity(bucket):
             return False
--- a/tests/workspaces/test_quotas.py
+++ b/tests/workspaces/test_quotas.py
@@ -216,6 +216,22 @@
             most = 0.01 if quota[0] >= 5 else 0.03
             self.check_refusals((quota,), lambda fleet: [(0, 0)], most)
 
+    def test_usual_demand_after_a_restart_of_all_proxies(self):
+        # Buckets stayed almost empty once the fleet was known: with 12 proxies a zone,
+        # 19 to 26% of the usual demand of most quotas were refused in the next 1.5 s.
+        asked = refused = 0
+        for fleet, workspace in self.each_fleet(((20, 20), (100, 150))):
+            demand = [("w", USUAL * workspace.rate_per_second, ())]
+            fleet.run(3_000, demand)
+            fleet.restart_all()
+            fleet.run(SIZE_KNOWN_MS, demand)
+            fleet.asked["w"] = fleet.refused["w"] = 0
+            fleet.run(1_500, demand)
+            asked += fleet.asked["w"]
+            refused += fleet.refused["w"]
+            self.check_bound(fleet, workspace)
+        self.assertLess(refused, 0.1 * asked)
+
     def test_small_quota_spread_over_all_proxies(self):
         # A share of each proxy would be a part of a token.
         for quota in ((0.2, 1), (1, 0), (2, 2)):
