Move decisions about workspaces from the dispatcher to workspaces.scheduling

The dispatcher keeps its public methods and calls the scheduler under its lock. The scheduler gets the time, the directory and the count of free slots passed in.

--- a/tests/workspaces/test_fairness.py
+++ b/tests/workspaces/test_fairness.py
@@ -585,7 +585,7 @@
     def test_requests_without_workspaces_leave_no_state(self):
         self.lookup()
         self.order()
-        state = self.dispatcher._services["desk"]
+        state = self.dispatcher._scheduler.get_service("desk")
         self.assertEqual(len(state.shares), 0)
         self.assertEqual(state.shares._answered, 0)
         self.assertIsNone(state.scarcity_known_at)
