Give quota credit back for first sends that certainly did not run

A request that ends refused gets its token back within 250 ms of the counted send. While refunds are recent the bucket is not filled up, as sends that are yet to be refunded hold tokens too.

--- a/damaskdyke/fleet/reports.py
+++ b/damaskdyke/fleet/reports.py
@@ -59,6 +59,8 @@
         none, ``None`` if the report is not about that.
     workspace : WorkspaceName or None
         Workspace whose request is sent, on the first send of a request that has one.
+    refunded : WorkspaceName or None
+        Workspace of an earlier first send of this proxy that certainly did not run.
     """
 
     upstream: UpstreamId
@@ -72,6 +74,7 @@
     is_foreign: bool = False
     rate_limit: float | None = None
     workspace: WorkspaceName | None = None
+    refunded: WorkspaceName | None = None
 
 
 def encode_report(report: LoadReport) -> UpstreamNews:
@@ -88,6 +91,7 @@
         report.is_foreign,
         report.rate_limit,
         report.workspace,
+        report.refunded,
     )
 
 
@@ -111,6 +115,7 @@
         bool(message.is_foreign),
         message.rate_limit,
         message.workspace,
+        message.refunded,
     )
 
 
--- a/damaskdyke/workspaces/quotas.py
+++ b/damaskdyke/workspaces/quotas.py
@@ -72,6 +72,13 @@
 # Bounds of Retry-After, and the least range over which retries are spread.
 MIN_RETRY_AFTER_MS = 50
 MIN_SPREAD_MS = 400
+# Age of a send up to which its request is refunded. The token of an older one may have
+# come back with the refill.
+REFUND_MAX_AGE_MS = 250
+# Time constant of the number of recent refunds. It covers the time between a send and
+# its refund at the peers, so that the number is at least that of the sends that are yet
+# to be refunded while upstreams refuse.
+REFUND_MEMORY_MS = 400
 # A bucket is dropped once it is full and the rate of sends is below this part of the
 # quota. A new bucket is full too, so nothing is lost.
 IDLE_SHARE = 0.01
@@ -150,6 +157,10 @@
         Sends of the zone, decayed with the time constant of the workspace.
     counted_at : Millis
         Time up to which they are decayed.
+    refunds : float
+        Refunds of the zone, decayed with `REFUND_MEMORY_MS`.
+    refunded_at : Millis
+        Time up to which they are decayed.
     announced_since : Millis or None
         Since when the zone announces the workspace, ``None`` while it does not.
     """
@@ -161,6 +172,8 @@
     updated_at: Millis
     counted_at: Millis
     sends: float = 0.0
+    refunds: float = 0.0
+    refunded_at: Millis = Millis(0)
     announced_since: Millis | None = None
 
 
@@ -247,6 +260,30 @@
         """Count the first send of a request that a peer of this zone reported."""
         self._record_send(name, now)
 
+    def refund_own_send(
+        self, name: WorkspaceName, sent_at: Millis, now: Millis
+    ) -> bool:
+        """Give back the first send of a request that was refused and did not run.
+
+        Returns whether the send is recent enough for that.
+        """
+        if name not in self._buckets or now - sent_at > REFUND_MAX_AGE_MS:
+            return False
+        self.refund_peer_send(name, now)
+        return True
+
+    def refund_peer_send(self, name: WorkspaceName, now: Millis) -> None:
+        """Give back a send that a peer of this zone reported and that did not run."""
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            return
+        self._refill(bucket, now)
+        bucket.level = min(bucket.level + 1, self._compute_capacity(bucket))
+        bucket.sends = max(0.0, self._decay_sends(bucket, now) - 1)
+        bucket.counted_at = now
+        bucket.refunds = self._decay_refunds(bucket, now) + 1
+        bucket.refunded_at = now
+
     # Inputs.
 
     def record_zone_heard(self, zone: ZoneName, now: Millis) -> None:
@@ -373,7 +410,13 @@
     def _refill(self, bucket: Bucket, now: Millis) -> None:
         elapsed_seconds = max(0, now - bucket.updated_at) / MILLIS_PER_SECOND
         level = bucket.level + bucket.share * elapsed_seconds
-        bucket.level = min(level, self._compute_capacity(bucket))
+        capacity = self._compute_capacity(bucket)
+        if bucket.refunds:
+            # Sends that are yet to be refunded hold tokens too. Filled up in spite of
+            # them, the bucket would grant a further burst once upstreams accept again.
+            room = capacity - self._decay_refunds(bucket, now)
+            level = min(level, max(bucket.level, room))
+        bucket.level = min(level, capacity)
         bucket.updated_at = now
 
     def _is_idle(self, bucket: Bucket, now: Millis) -> bool:
@@ -478,6 +521,10 @@
         elapsed_ms = max(0, now - bucket.counted_at)
         return bucket.sends * math.exp(-elapsed_ms / self._get_memory_ms(bucket))
 
+    def _decay_refunds(self, bucket: Bucket, now: Millis) -> float:
+        elapsed_ms = max(0, now - bucket.refunded_at)
+        return bucket.refunds * math.exp(-elapsed_ms / REFUND_MEMORY_MS)
+
     def _get_sends_per_second(self, bucket: Bucket, now: Millis) -> float:
         memory_seconds = self._get_memory_ms(bucket) / MILLIS_PER_SECOND
         return self._decay_sends(bucket, now) / memory_seconds
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -4,10 +4,11 @@
 
 from damaskdyke.catalogue.catalogue import build_catalogue
 from damaskdyke.catalogue.types import CallerLimits, Rules, Service
+from damaskdyke.core.clock import ManualClock
 from damaskdyke.core.ids import RequestId
 from damaskdyke.dispatch.outcomes import Outcome, SendKind
 from damaskdyke.dispatch.selection import SelectionCriteria
-from damaskdyke.fleet.reports import LoadReport
+from damaskdyke.fleet.reports import LoadReport, Urgency
 from damaskdyke.gateway.application import Application
 from damaskdyke.gateway.callers import CallerWatch
 from damaskdyke.gateway.instruments import (
@@ -17,6 +18,7 @@
 )
 from damaskdyke.gateway.messages import AnswerKind, CallerRequest
 from damaskdyke.platform.headers import HEADERS
+from damaskdyke.testbed.instance import Behaviour, InstanceStandIn
 from damaskdyke.upstreams.messages import Header
 from damaskdyke.workspaces.directory import Directory
 from damaskdyke.workspaces.quotas import FleetView
@@ -147,6 +149,96 @@
         self.assertEqual(counts[OTHER_WORKSPACES], 5)
 
 
+class RefundTest(QuotaCase):
+    """A request that ends refused and certainly did not run costs nothing.
+
+    The clock stands still, so that no token is added.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(self.clock.now())
+        self.dispatcher._clock = self.application._clock = self.clock
+
+    def ask_and_compare(self, behaviour=None):
+        """Ask once and return the status and the tokens that it cost."""
+        before = self.read_level()
+        if behaviour is not None:
+            self.upstream.behaviour = behaviour
+        status = self.ask("k1").status
+        return status, before - self.read_level()
+
+    def list_refunds(self):
+        return [item.refunded for item in self.gossip.reports if item.refunded]
+
+    def test_request_that_the_upstream_refused(self):
+        # Refused requests used the quota up, so that retries got 429 instead.
+        status, cost = self.ask_and_compare(Behaviour.SHED)
+        self.assertEqual(status, 503)
+        self.assertAlmostEqual(cost, 0)
+
+    def test_request_that_got_no_connection(self):
+        self.upstream.__exit__()
+        status, cost = self.ask_and_compare()
+        self.assertEqual(status, 503)
+        self.assertAlmostEqual(cost, 0)
+
+    def check_no_refund(self, behaviour, expected_status):
+        # A refund of requests that ran lets a workspace run more than its quota.
+        status, cost = self.ask_and_compare(behaviour)
+        self.assertEqual(status, expected_status)
+        self.assertAlmostEqual(cost, 1)
+        self.assertFalse(self.dispatcher._refunds)
+
+    def test_send_with_a_reply_is_not_refunded(self):
+        self.check_no_refund(Behaviour.GOOD, 200)
+
+    def test_send_that_may_have_run_is_not_refunded(self):
+        self.check_no_refund(Behaviour.RESET, 502)
+
+    def test_unmarked_refusal_is_not_refunded(self):
+        self.check_no_refund(Behaviour.UNMARKED_503, 502)
+
+    def test_send_after_a_refused_one_may_have_run(self):
+        instance = self.enterContext(InstanceStandIn("u2"))
+        instances = {"u2": instance.describe()} | self.view.instances
+        self.view = build_catalogue(2, self.view.rules, instances)
+        self.dispatcher.apply_view(self.view)
+        self.upstream.behaviour = Behaviour.SHED
+        instance.behaviour = Behaviour.RESET
+        self.pool.list_connected = lambda is_order: frozenset()
+        for _ in range(4):
+            before = self.read_level()
+            status = self.ask("k1").status
+            runs = instance.runs["q"]
+            instance.runs.clear()
+            cost = before - self.read_level()
+            self.assertAlmostEqual(cost, 1 if runs else 0, msg=status)
+
+    def test_peers_are_told_with_the_next_report_that_is_sent_soon(self):
+        # The peers would refuse requests that the zone's quota has room for.
+        self.ask_and_compare(Behaviour.SHED)
+        self.assertEqual(self.list_refunds(), [])
+        count = len(self.gossip.reports)
+        instance = self.upstream.describe()
+        self.dispatcher.end_send(instance, Outcome.GOOD, 5)
+        self.assertEqual(self.gossip.urgencies[-1], Urgency.LATER)
+        self.assertEqual(self.list_refunds(), [])
+        self.dispatcher.end_send(instance, Outcome.FAILED, 5)
+        self.assertEqual(self.list_refunds(), ["limited"])
+        self.assertEqual(len(self.gossip.reports), count + 2)
+
+    def test_refund_of_a_peer_of_the_zone_counts(self):
+        self.report_sends(2)
+        level = self.read_level()
+        for is_same_zone in (True, False):
+            report = LoadReport(
+                self.upstream.name, 1, 0, Outcome.SHED, 0, refunded="limited"
+            )
+            self.dispatcher.apply_reports("10.0.0.9", is_same_zone, [report])
+        self.assertAlmostEqual(self.read_level(), level + 1)
+
+
 class ReviewedTest(QuotaCase):
     def test_workspaces_in_reports_are_not_kept_where_none_is_configured(self):
         # They took memory at a proxy that has nothing to do with workspaces.
--- a/tests/workspaces/fleets.py
+++ b/tests/workspaces/fleets.py
@@ -20,6 +20,10 @@
 REPORT_DELAYS_MS = (50, 150)
 ANNOUNCEMENT_DELAYS_MS = (20, 150)
 START_MS = 1_000_000
+# Time after which upstreams have refused a request for good, and in which a refund
+# reaches the peers.
+REFUSAL_DELAYS_MS = (5, 240)
+REFUND_DELAYS_MS = (50, 250)
 # Proxies that start together hear from each other after this time, and know the size of
 # the fleet after `SIZE_KNOWN_MS`.
 CONTACT_MS = 1_000
@@ -37,6 +41,8 @@
         self.zone_proxies = zone_proxies
         self.loss = loss
         self.directory = Directory(workspaces)
+        # Share of the sends that upstreams refuse, so that they do not run.
+        self.refusal_share = 0.0
         # Whether zones hear from each other.
         self.is_cut = False
         self.messages = {}
@@ -132,16 +138,34 @@
             self.refused[name] += 1
             self.admissions.append(admission)
             return
-        self.runs[name].append(now)
         table.record_own_send(name, now)
         self.send(REPORT_DELAYS_MS, self.report, zone, number, name)
+        if self.refusal_share and self.random.random() < self.refusal_share:
+            self.send(REFUSAL_DELAYS_MS, self.refund, zone, number, name, now)
+        else:
+            self.runs[name].append(now)
 
     def report(self, zone, number, name, now):
+        for table in self.list_receivers(zone, number):
+            table.record_peer_send(name, now)
+
+    def refund(self, zone, number, name, sent_at, now):
+        if self.tables[zone][number].refund_own_send(name, sent_at, now):
+            self.send(REFUND_DELAYS_MS, self.report_refund, zone, number, name)
+
+    def report_refund(self, zone, number, name, now):
+        for table in self.list_receivers(zone, number):
+            table.refund_peer_send(name, now)
+
+    def list_receivers(self, zone, number):
+        """Return the tables that a load report of a proxy reaches."""
         if not self.is_in_contact:
-            return
-        for other, table in enumerate(self.tables[zone]):
-            if other != number and self.random.random() >= self.loss:
-                table.record_peer_send(name, now)
+            return []
+        return [
+            table
+            for other, table in enumerate(self.tables[zone])
+            if other != number and self.random.random() >= self.loss
+        ]
 
     def tick(self, now):
         """Let proxies whose time has come update their shares and announce rates."""
--- a/tests/workspaces/test_quotas.py
+++ b/tests/workspaces/test_quotas.py
@@ -13,6 +13,7 @@
     MAX_RESERVE_SHARE,
     MIN_SPREAD_MS,
     REFILL_SHARE,
+    REFUND_MAX_AGE_MS,
     RESERVE_SECONDS,
     FleetView,
     QuotaTable,
@@ -187,6 +188,46 @@
             self.check_bound(fleet, workspace)
 
 
+class RefundTest(FleetCase):
+    """Upstreams refuse most sends for some time; these requests did not run."""
+
+    def test_bound_holds_while_and_after_upstreams_refuse(self):
+        # Buckets filled up while all their sends were yet to be refunded.
+        for refused in (0.8, 1.0):
+            for fleet, workspace in self.each_fleet(((20, 20), (100, 0)), loss=0.1):
+                demand = 30 * USUAL * workspace.rate_per_second
+                for share in (refused, 0.0, refused, 0.0):
+                    fleet.refusal_share = share
+                    fleet.run(3_000, [("w", demand, ())])
+                self.check_bound(fleet, workspace)
+
+    def test_refused_sends_leave_room_for_others(self):
+        # With half of the sends refused, only 0.5 of the quota could be used.
+        for fleet, workspace in self.each_fleet(((20, 20), (100, 0))):
+            fleet.refusal_share = 0.5
+            fleet.run(12_000, [("w", HOT * workspace.rate_per_second, ())])
+            self.check_use(fleet, workspace, 0.65)
+            self.check_bound(fleet, workspace)
+
+    def test_old_sends_are_not_refunded(self):
+        workspace = make_workspace(rate=90, burst=0)
+        table = QuotaTable(DEFAULT_BOUNDS, "a", 0, random.Random(1))
+        table.set_limits(Directory([workspace]), 0)
+        now = 60_000
+        table.record_own_send("w", now)
+        self.assertTrue(table.refund_own_send("w", now, now + REFUND_MAX_AGE_MS))
+        self.assertFalse(table.refund_own_send("w", now, now + REFUND_MAX_AGE_MS + 1))
+
+    def test_refund_does_not_fill_a_bucket_beyond_its_capacity(self):
+        workspace = make_workspace(rate=90, burst=0)
+        table = QuotaTable(DEFAULT_BOUNDS, "a", 0, random.Random(1))
+        table.set_limits(Directory([workspace]), 0)
+        table.set_fleet(FleetView(frozenset(ZONES)), 60_000)
+        full = table.admit(workspace, 60_000).level
+        table.refund_peer_send("w", 60_000)
+        self.assertEqual(table.admit(workspace, 60_000).level, full)
+
+
 class UsualDemandTest(FleetCase):
     def check_refusals(self, quotas, choose_proxies, most):
         """Check the refusals at the usual demand, over both seeds of each fleet."""
