--- a/damaskdyke/workspaces/directory.py
+++ b/damaskdyke/workspaces/directory.py
@@ -26,6 +26,8 @@
         Number of keys that several workspaces list.
     priorities : frozenset of (int or None)
         Priorities of the workspaces, ``None`` for those without one.
+    has_limits : bool
+        Whether any workspace has a quota.
     """
 
     def __init__(self, workspaces: Iterable[Workspace]):
@@ -53,6 +55,9 @@
         self.repeated_names = tuple(repeated_names)
         self.shared_key_count = len(shared_keys)
         self.priorities = frozenset(item.priority for item in self._by_name.values())
+        self.has_limits = any(
+            item.rate_per_second > 0 for item in self._by_name.values()
+        )
 
     def __len__(self) -> int:
         return len(self._by_name)
--- a/damaskdyke/workspaces/quotas.py
+++ b/damaskdyke/workspaces/quotas.py
@@ -309,13 +309,13 @@
         """Apply the workspaces of the catalogue in force.
 
         A changed limit is in force at once. A bucket never holds more than its new
-        capacity; tokens that were added stay otherwise.
+        capacity; tokens that were added stay otherwise. Only active workspaces are
+        visited, as the dispatcher's lock is held meanwhile.
         """
         if directory is self._directory:
             return
         self._directory = directory
-        workspaces = () if directory is None else directory.list_all()
-        self.has_limits = any(item.rate_per_second > 0 for item in workspaces)
+        self.has_limits = directory is not None and directory.has_limits
         for name, bucket in self._buckets.items():
             workspace = None if directory is None else directory.find(name)
             if workspace is None or workspace.rate_per_second <= 0:
--- a/tests/workspaces/test_quotas.py
+++ b/tests/workspaces/test_quotas.py
@@ -6,6 +6,7 @@
 
 import random
 import unittest
+from collections import Counter
 
 from damaskdyke.conf.vm import DEFAULT_BOUNDS
 from damaskdyke.workspaces.directory import Directory
@@ -283,6 +284,33 @@
             self.check_bound(fleet, lowered)
             self.check_use(fleet, lowered, 0.9)
 
+    def test_change_of_the_limits_visits_active_workspaces_only(self):
+        # With 170,000 workspaces each change of the configuration held the dispatcher's
+        # lock while all of them were read.
+        visits = Counter()
+
+        class CountedWorkspace(Workspace):
+            def __getattribute__(self, name):
+                visits["reads"] += 1
+                return super().__getattribute__(name)
+
+        def make_directory(rate):
+            return Directory(
+                CountedWorkspace(f"w{n}", (f"k{n}",), None, rate if n >= 997 else 0, 1)
+                for n in range(1_000)
+            )
+
+        table = QuotaTable(DEFAULT_BOUNDS, "a", 0, random.Random(1))
+        table.set_limits(make_directory(10.0), 0)
+        for number in range(1_000):
+            table.record_own_send(f"w{number}", 0)
+        changed = make_directory(5.0)
+        visits.clear()
+        table.set_limits(changed, 0)
+        self.assertTrue(table.has_limits)
+        self.assertEqual(table._buckets["w999"].rate, 5.0)
+        self.assertLess(visits["reads"], 20)
+
     def test_workspaces_without_a_rate_are_not_limited(self):
         # A rate of 0 means no limit, not no requests.
         unlimited = Workspace("u", ("k",))
