--- a/damaskdyke/management/commands/explain.py
+++ b/damaskdyke/management/commands/explain.py
@@ -13,19 +13,29 @@
 
 
 class Command(BaseCommand):
-    """Show rule, limits and upstream states that apply to a request."""
+    """Show rule, limits and upstream states, or why a request was refused."""
 
-    help = "Explain how a proxy would route a request, and by which settings."
+    help = "Explain how a proxy would route a request, or why it refused one."
 
     def add_arguments(self, parser: ArgumentParser) -> None:
         """Add the arguments for proxy and request."""
         parser.add_argument("proxy", metavar="IP:PORT")
-        parser.add_argument("path")
+        parser.add_argument("path", nargs="?")
+        parser.add_argument(
+            "--request",
+            metavar="ID",
+            help="explain why this request of a workspace was refused; the port is "
+            "that of the metrics",
+        )
         parser.add_argument("--method", default="GET")
         parser.add_argument("--json", action="store_true")
 
     def handle(self, options: Namespace) -> ExitCode:
         """Ask the proxy and print its explanation."""
+        if (options.path is None) == (options.request is None):
+            raise CommandError("give either a path or --request", ExitCode.USAGE)
+        if options.request is not None:
+            return self.explain_refusal(options)
         query = urlencode({"method": options.method, "path": options.path})
         answer = ProxyClient(options.proxy).call("GET", f"/-/explain?{query}")
         report = answer.read_json()
@@ -39,6 +49,23 @@
             self.print_report(report)
         return ExitCode.OK if "rule" in report else ExitCode.FAILED
 
+    def explain_refusal(self, options: Namespace) -> ExitCode:
+        """Ask the proxy for a refusal and print the decision with its inputs."""
+        query = urlencode({"request": options.request})
+        answer = ProxyClient(options.proxy).call("GET", f"/-/explain?{query}")
+        if answer.status != 200:
+            raise CommandError(f"the proxy answered with status {answer.status}")
+        report = answer.read_json()
+        if options.json:
+            print(json.dumps(report, indent=2))
+        else:
+            inputs = report.pop("inputs", {})
+            for key, value in report.items():
+                print(f"{key}: {value}")
+            for key, value in inputs.items():
+                print(f"inputs.{key}: {value}")
+        return ExitCode.OK if "workspace" in report else ExitCode.FAILED
+
     def print_report(self, report: dict[str, Any]) -> None:
         """Print the explanation as text."""
         for key in ("method", "path", "decision", "phase", "service", "branch"):
--- a/damaskdyke/workspaces/fairness.py
+++ b/damaskdyke/workspaces/fairness.py
@@ -240,6 +240,11 @@
             level.active,
         )
 
+    def list_active(self, now: Millis) -> list[WorkspaceName]:
+        """Return the workspaces with a request within `ACTIVE_MS`."""
+        self._remove_expired(now)
+        return list(self._usages)
+
     def compute_retry_after_ms(
         self, workspace: WorkspaceName, wait_ms: float, now: Millis
     ) -> int:
--- a/damaskdyke/workspaces/quotas.py
+++ b/damaskdyke/workspaces/quotas.py
@@ -10,6 +10,7 @@
 with the number of workspaces.
 """
 
+import heapq
 import math
 import random
 from dataclasses import dataclass
@@ -177,6 +178,30 @@
     announced_since: Millis | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class BucketState:
+    """Bucket of one active workspace, for operators.
+
+    Parameters
+    ----------
+    name : WorkspaceName
+        The workspace.
+    level, capacity : float
+        Tokens in the bucket at present and at most.
+    share : float
+        Tokens that are added each second.
+    sends_per_second, rate : float
+        Recent sends of the zone, and the quota of the whole fleet.
+    """
+
+    name: WorkspaceName
+    level: float
+    capacity: float
+    share: float
+    sends_per_second: float
+    rate: float
+
+
 class QuotaTable:
     """Token buckets of one proxy for its zone. Not thread-safe.
 
@@ -374,6 +399,28 @@
             announced.append((name, per_second))
         return announced
 
+    def list_largest(self, count: int, now: Millis) -> list[BucketState]:
+        """Return the buckets with the most recent sends, the largest first."""
+        sends = {
+            name: self._get_sends_per_second(bucket, now)
+            for name, bucket in self._buckets.items()
+        }
+        states = []
+        for name in heapq.nlargest(count, sends, sends.get):
+            bucket = self._buckets[name]
+            self._refill(bucket, now)
+            states.append(
+                BucketState(
+                    name,
+                    bucket.level,
+                    self._compute_capacity(bucket),
+                    bucket.share,
+                    sends[name],
+                    bucket.rate,
+                )
+            )
+        return states
+
     # Buckets.
 
     def _record_send(self, name: WorkspaceName, now: Millis) -> None:
--- a/damaskdyke/workspaces/scheduling.py
+++ b/damaskdyke/workspaces/scheduling.py
@@ -24,7 +24,7 @@
     ShareState,
     is_scarce,
 )
-from damaskdyke.workspaces.quotas import QuotaTable
+from damaskdyke.workspaces.quotas import BucketState, QuotaTable
 
 # Time for which the count of a service's free slots in the zone is used. Reports of
 # peers are about as old.
@@ -65,6 +65,18 @@
     total: int
 
 
+class Activity(NamedTuple):
+    """Workspaces that are active at a proxy, for operators.
+
+    ``active`` counts those with recent requests to any service, and ``buckets`` those
+    with a bucket, of which ``largest`` has those with the most sends.
+    """
+
+    active: int
+    buckets: int
+    largest: list[BucketState]
+
+
 class ServiceSchedule:
     """Uses of one service by workspaces, and its queue.
 
@@ -119,6 +131,14 @@
             schedule = self._services[service] = ServiceSchedule(self._random)
         return schedule
 
+    def describe_activity(self, count: int, now: Millis) -> Activity:
+        """Return which workspaces are active, with the largest ones' buckets."""
+        active: set[WorkspaceName] = set()
+        for schedule in self._services.values():
+            active.update(schedule.shares.list_active(now))
+        largest = self.quotas.list_largest(count, now)
+        return Activity(len(active), len(self.quotas), largest)
+
     # Ranks and guarantees.
 
     def claim_rank(
--- a/tests/platform/test_quotas.py
+++ b/tests/platform/test_quotas.py
@@ -1,10 +1,13 @@
 """Test of a quota over proxy processes in two zones that share it by gossip."""
 
 import contextlib
+import io
 import threading
 import time
 import unittest
 
+from damaskdyke.core.management.runner import run
+from damaskdyke.gateway.daemon import METRICS_PORT
 from damaskdyke.platform import names
 from damaskdyke.testbed.deployment import deploy, make_config
 from damaskdyke.testbed.processes import wait_for
@@ -53,6 +56,19 @@
                 self.answers[key].append((time.monotonic() * 1_000, *answer))
                 time.sleep(PAUSE_SECONDS)
 
+    def test_operators_see_the_bucket_and_the_refusal(self):
+        # The reports were served by none of the proxy's listeners.
+        proxy = self.fleet.proxies[0]
+        while self.call(proxy, "k1") != 429:
+            pass
+        address = f"{proxy.host}:{METRICS_PORT}"
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            run(["status", address])
+            run(["explain", address, "--request", "q"])
+        self.assertIn("busy", output.getvalue())
+        self.assertIn("decision: over-quota", output.getvalue())
+
     def test_busy_workspace_stays_below_its_quota_on_all_proxies_together(self):
         # Each proxy, or each zone, admitted the whole quota.
         end = time.monotonic() + LOAD_SECONDS
