--- a/tests/workspaces/fleets.py
+++ b/tests/workspaces/fleets.py
@@ -5,7 +5,6 @@
 """
 
 import random
-from collections import deque
 
 from damaskdyke.conf.vm import DEFAULT_BOUNDS
 from damaskdyke.core.clock import ManualClock
@@ -211,24 +210,5 @@
             handle(*args, now)
 
 
-def compute_bound(workspace, bounds=DEFAULT_BOUNDS):
-    """Return the requests of a workspace that may run in each window."""
-    quota = workspace.rate_per_second * bounds.quota_window_ms / 1_000
-    quota += workspace.burst
-    return quota * (1 + bounds.quota_over) + bounds.quota_slack
-
-
-def find_busiest_window(times, window_ms=DEFAULT_BOUNDS.quota_window_ms):
-    """Return the largest number of runs in any window of this length."""
-    largest = 0
-    recent = deque()
-    for time in times:
-        recent.append(time)
-        while recent[0] <= time - window_ms:
-            recent.popleft()
-        largest = max(largest, len(recent))
-    return largest
-
-
 def make_workspace(name="w", rate=20.0, burst=20.0):
     return Workspace(name, (f"key-{name}",), None, rate, burst)
