--- a/tests/workspaces/fleets.py
+++ b/tests/workspaces/fleets.py
@@ -5,7 +5,6 @@
 """
 
 import random
-from collections import deque
 
 from damaskdyke.conf.vm import DEFAULT_BOUNDS
 from damaskdyke.core.clock import ManualClock
@@ -20,6 +19,10 @@
 REPORT_DELAYS_MS = (50, 150)
 ANNOUNCEMENT_DELAYS_MS = (20, 150)
 START_MS = 1_000_000
+# Time after which upstreams have refused a request for good, and in which a refund
+# reaches the peers.
+REFUSAL_DELAYS_MS = (5, 240)
+REFUND_DELAYS_MS = (50, 250)
 # Proxies that start together hear from each other after this time, and know the size of
 # the fleet after `SIZE_KNOWN_MS`.
 CONTACT_MS = 1_000
@@ -37,6 +40,8 @@
         self.zone_proxies = zone_proxies
         self.loss = loss
         self.directory = Directory(workspaces)
+        # Share of the sends that upstreams refuse, so that they do not run.
+        self.refusal_share = 0.0
         # Whether zones hear from each other.
         self.is_cut = False
         self.messages = {}
@@ -132,16 +137,34 @@
             self.refused[name] += 1
             self.admissions.append(admission)
             return
-        self.runs[name].append(now)
         table.record_own_send(name, now)
         self.send(REPORT_DELAYS_MS, self.report, zone, number, name)
+        if self.refusal_share and self.random.random() < self.refusal_share:
+            self.send(REFUSAL_DELAYS_MS, self.refund, zone, number, name, now)
+        else:
+            self.runs[name].append(now)
 
     def report(self, zone, number, name, now):
+        for table in self.list_receivers(zone, number):
+            table.record_peer_send(name, now)
+
+    def refund(self, zone, number, name, sent_at, now):
+        if self.tables[zone][number].refund_own_send(name, sent_at, now):
+            self.send(REFUND_DELAYS_MS, self.report_refund, zone, number, name)
+
+    def report_refund(self, zone, number, name, now):
+        for table in self.list_receivers(zone, number):
+            table.refund_peer_send(name, now)
+
+    def list_receivers(self, zone, number):
+        """Return the tables that a load report of a proxy reaches."""
         if not self.is_in_contact:
-            return
-        for other, table in enumerate(self.tables[zone]):
-            if other != number and self.random.random() >= self.loss:
-                table.record_peer_send(name, now)
+            return []
+        return [
+            table
+            for other, table in enumerate(self.tables[zone])
+            if other != number and self.random.random() >= self.loss
+        ]
 
     def tick(self, now):
         """Let proxies whose time has come update their shares and announce rates."""
@@ -187,24 +210,5 @@
             handle(*args, now)
 
 
-def compute_bound(workspace, bounds=DEFAULT_BOUNDS):
-    """Return the requests of a workspace that may run in each window."""
-    quota = workspace.rate_per_second * bounds.quota_window_ms / 1_000
-    quota += workspace.burst
-    return quota * (1 + bounds.quota_over) + bounds.quota_slack
-
-
-def find_busiest_window(times, window_ms=DEFAULT_BOUNDS.quota_window_ms):
-    """Return the largest number of runs in any window of this length."""
-    largest = 0
-    recent = deque()
-    for time in times:
-        recent.append(time)
-        while recent[0] <= time - window_ms:
-            recent.popleft()
-        largest = max(largest, len(recent))
-    return largest
-
-
 def make_workspace(name="w", rate=20.0, burst=20.0):
     return Workspace(name, (f"key-{name}",), None, rate, burst)
