--- a/tests/workspaces/test_quotas.py
+++ b/tests/workspaces/test_quotas.py
@@ -9,6 +9,7 @@
 from collections import Counter
 
 from damaskdyke.conf.vm import DEFAULT_BOUNDS
+from damaskdyke.testbed.quotas import compute_bound, find_busiest_window
 from damaskdyke.workspaces.directory import Directory
 from damaskdyke.workspaces.quotas import (
     MAX_RESERVE_SHARE,
@@ -20,14 +21,7 @@
     QuotaTable,
 )
 from damaskdyke.workspaces.types import Workspace
-from tests.workspaces.fleets import (
-    SIZE_KNOWN_MS,
-    ZONES,
-    QuotaFleet,
-    compute_bound,
-    find_busiest_window,
-    make_workspace,
-)
+from tests.workspaces.fleets import SIZE_KNOWN_MS, ZONES, QuotaFleet, make_workspace
 
 SIZES = (12, 35)
 SEEDS = (1, 2)
