--- a/damaskdyke/management/commands/explain.py
+++ b/damaskdyke/management/commands/explain.py
@@ -60,10 +60,11 @@
             print(json.dumps(report, indent=2))
         else:
             inputs = report.pop("inputs", {})
-            for key, value in report.items():
-                print(f"{key}: {value}")
-            for key, value in inputs.items():
-                print(f"inputs.{key}: {value}")
+            for key, value in [
+                *report.items(),
+                *((f"inputs.{key}", value) for key, value in inputs.items()),
+            ]:
+                print(f"{key}: {'-' if value is None else value}")
         return ExitCode.OK if "workspace" in report else ExitCode.FAILED
 
     def print_report(self, report: dict[str, Any]) -> None:
--- a/tests/gateway/test_reports.py
+++ b/tests/gateway/test_reports.py
@@ -103,6 +103,8 @@
         self.ask("a-secret")
         names = {"version", "revision", "proof_age_ms"}
         inputs = self.check_explained("unknown-key", None, names)
+        _, text = run_command("explain", self.address, "--request", "q")
+        self.assertIn("workspace: -", text)
         self.assertNotIn("a-secret", str(inputs))
 
     def test_key_without_a_proof(self):
