Refuse heads of requests that another recipient may read differently

The HTTP library took the last of two lengths, ignored a length beside chunks and chunks in HTTP/1.0, and accepted a space before the colon, a bare CR and folded lines: what one recipient takes for a body is a request to the other. Such a head is answered 400 after the answers ahead of it, and what follows it is not read. Lengths with equal values are refused too.

--- a/damaskdyke/gateway/callers.py
+++ b/damaskdyke/gateway/callers.py
@@ -16,6 +16,12 @@
 )
 
 from damaskdyke.core.clock import Clock, Millis
+from damaskdyke.gateway.heads import (
+    HeadChecker,
+    HeadFault,
+    HeadRefused,
+    has_bare_cr,
+)
 from damaskdyke.gateway.memory import (
     MAX_WAIT_MS,
     STALL_MS,
@@ -42,6 +48,7 @@
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 )
+BAD_HEAD = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 # Lines of a head whose objects count as part of the connection, further lines for which
 # memory is taken at once, and the memory of each: 2,300 lines took 0.5 MB.
 FREE_HEAD_LINES = 100
@@ -147,6 +154,25 @@
             raise CallerDisconnected
 
 
+class RequestLineReader:
+    """Reader that keeps the last line, of which the library strips both ends.
+
+    Parameters
+    ----------
+    wrapped : SizeCheckWrapper
+        The library's reader.
+    """
+
+    def __init__(self, wrapped: SizeCheckWrapper):
+        self.wrapped = wrapped
+        self.line = b""
+
+    def readline(self) -> bytes:
+        """Return the next line."""
+        self.line = self.wrapped.readline()
+        return self.line
+
+
 class HeadReader:
     """Reader of a head's lines, in place of the library's, which limits only bytes.
 
@@ -154,11 +180,19 @@
     ----------
     wrapped : SizeCheckWrapper
         The library's reader.
+    checker : HeadChecker
+        Checks each line.
     take_memory : callable
         Called for every ``HEAD_STEP_LINES`` lines after the first ones; may raise.
     """
 
-    def __init__(self, wrapped: SizeCheckWrapper, take_memory: Callable[[], None]):
+    def __init__(
+        self,
+        wrapped: SizeCheckWrapper,
+        checker: HeadChecker,
+        take_memory: Callable[[], None],
+    ):
+        self._checker = checker
         self._rfile = wrapped.rfile
         # Without a limit in the configuration, that of the framing applies.
         self._bytes_left = (wrapped.maxlen or FRAMING_BYTES) - wrapped.bytes_read
@@ -172,6 +206,8 @@
         ------
         MaxSizeExceeded
             If the head is over the byte limit.
+        HeadRefused
+            If the line is ambiguous or invalid.
         """
         if not self._lines_left:
             self._take_memory()
@@ -181,6 +217,7 @@
         self._bytes_left -= len(line)
         if self._bytes_left < 0:
             raise MaxSizeExceeded
+        self._checker.check_line(line)
         return line
 
 
@@ -200,16 +237,39 @@
         """Read the header; the library would answer an expectation out of turn.
 
         A header of many lines takes memory from the budget.
+
+        Raises
+        ------
+        HeadRefused
+            If it is ambiguous or invalid.
         """
-        HeaderReader()(HeadReader(rfile, self._take_head_memory), headers)
+        checker = HeadChecker()
+        reader = HeadReader(rfile, checker, self._take_head_memory)
+        HeaderReader()(reader, headers)
+        checker.check_framing(self.response_protocol == "HTTP/1.1")
         expectation = headers.pop(b"Expect", b"")
         self._expects_continue = expectation.lower() == b"100-continue"
 
+    def read_request_line(self) -> bool:
+        """Read the request line; refuse one with a CR before its end."""
+        reader = RequestLineReader(self.rfile)
+        self.rfile = reader
+        try:
+            is_valid = super().read_request_line()
+        finally:
+            self.rfile = reader.wrapped
+        if is_valid and has_bare_cr(reader.line):
+            self._refuse_head(HeadFault.BARE_CR)
+            return False
+        return is_valid
+
     def read_request_headers(self) -> bool:
-        """Read the header; refuse a request for whose header there is no memory."""
+        """Read the header; refuse one that is ambiguous or finds no memory."""
         is_valid = False
         try:
             is_valid = super().read_request_headers()
+        except HeadRefused as error:
+            self._refuse_head(error.fault)
         except MemoryRefused as error:
             log_event(
                 logger,
@@ -219,7 +279,7 @@
                 part="head",
                 **error.inputs,
             )
-            self._refuse()
+            self._refuse(REFUSAL)
         finally:
             if not is_valid and self.hold is not None:
                 self.hold.close()
@@ -233,13 +293,18 @@
             self.hold = self.server.memory.open(MemoryKind.BODY)
         self.hold.take(HEAD_STEP_LINES * HEAD_LINE_BYTES, MAX_WAIT_MS)
 
-    def _refuse(self) -> None:
-        """Answer 503 as the last answer."""
+    def _refuse_head(self, fault: HeadFault) -> None:
+        """Answer 400 to a head; what follows it is not read."""
+        log_event(logger, "head-refused", logging.WARNING, reason=fault.value)
+        self._refuse(BAD_HEAD)
+
+    def _refuse(self, answer: bytes) -> None:
+        """Write an answer as the last one, and drop what the caller still sends."""
         self._has_answer = True
         self.close_connection = True
         if self.wait_turn():
             self.conn.pipeline.close_after(self.number)
-            self.conn.wfile.write(REFUSAL)
+            self.conn.wfile.write(answer)
             self.conn.discard_input()
 
     def send_continue(self) -> None:
