--- a/damaskdyke/gateway/memory.py
+++ b/damaskdyke/gateway/memory.py
@@ -41,6 +41,9 @@
 SINGLE_BODY_SHARE = 15 / 16
 # A body of unknown length takes memory in steps of this size.
 STEP_BYTES = 1024 * 1024
+# Limit of the steps of a reply as a part of the budget. Beside a body of the largest
+# size a step of 1 MB did not fit into a budget of 16 MB.
+MAX_REPLY_STEP_DIVISOR = 64
 # Holds that wait for at most this pass one that does not fit: a body of 64 MB kept all
 # those over 64 KB waiting.
 MAX_PASSING_BYTES = 1024 * 1024
@@ -134,6 +137,8 @@
         self._buffers: list[BodyBuffer] = []
         # Called to end the transfer; ``None`` while it must not be ended.
         self.on_revoke: Callable[[], None] | None = None
+        # Called when it begins to wait for memory; may release that of other holds.
+        self.on_shortage: Callable[[], None] | None = None
         self._progress_at = self.opened_at
         self._progress_bytes = 0
 
@@ -232,6 +237,14 @@
             return 0
         return now - self._progress_at
 
+    def release_buffers(self) -> None:
+        """Give the memory of the buffers back, whose bodies are not used any more."""
+        count = sum(buffer.capacity for buffer in self._buffers)
+        for buffer in self._buffers:
+            buffer.release()
+        self._buffers.clear()
+        self._budget.give_back(self, count)
+
     def close(self) -> None:
         """Give all memory back; later calls do nothing."""
         for buffer in self._buffers:
@@ -337,6 +350,8 @@
             self._wanted += count
         hold.is_waiting = True
         try:
+            if hold.on_shortage is not None:
+                hold.on_shortage()
             self._wait(waiter, wait_ms, check)
         finally:
             hold.is_waiting = False
@@ -359,6 +374,16 @@
             hold.on_revoke = None
             self._grant()
 
+    def give_back(self, hold: MemoryHold, count: int) -> None:
+        """Release a part of the memory of a hold."""
+        with self._lock:
+            if hold not in self._holds:
+                return
+            self._held[hold.kind] -= count
+            self._total -= count
+            hold.size -= count
+            self._grant()
+
     def forbid_revoking(self, hold: MemoryHold) -> None:
         """Keep a hold, see :meth:`MemoryHold.forbid_revoking`."""
         with self._lock:
@@ -554,13 +579,13 @@
         if length is not None and length > min(max_bytes, hold.get_max_bytes()):
             raise BodyTooLarge
         # A caller that sends little must not take, or wait for, more than that.
-        self._capacity = min(SMALL_BODY_BYTES, wanted)
-        hold.take(self._capacity, wait_ms, check)
-        self._view = memoryview(bytearray(self._capacity))
+        self.capacity = min(SMALL_BODY_BYTES, wanted)
+        hold.take(self.capacity, wait_ms, check)
+        self._view = memoryview(bytearray(self.capacity))
 
     def get_room(self, max_count: int) -> memoryview:
         """Return free memory to read into, empty if a known length is filled."""
-        end = min(self._capacity, self.filled + max_count)
+        end = min(self.capacity, self.filled + max_count)
         return self._view[self.filled : end]
 
     def check_length(self, count: int) -> None:
@@ -570,7 +595,7 @@
 
     def has_room(self) -> bool:
         """Return whether a body can be read further without more memory."""
-        return self.filled < self._capacity
+        return self.filled < self.capacity
 
     def advance(self, count: int) -> None:
         """Record that bytes were read into the free memory."""
@@ -586,7 +611,7 @@
             If it does not fit.
         """
         end = self.filled + len(data)
-        while end > self._capacity:
+        while end > self.capacity:
             self.grow()
         self._view[self.filled : end] = data
         self.advance(len(data))
@@ -599,13 +624,17 @@
         MemoryRefused, BodyTooLarge
             If it does not fit.
         """
-        capacity = min(self._capacity + STEP_BYTES, self._max_bytes)
+        step = STEP_BYTES
+        if self._hold.kind is MemoryKind.REPLY:
+            part = self._hold.get_max_bytes() // MAX_REPLY_STEP_DIVISOR
+            step = min(step, max(SMALL_BODY_BYTES, part))
+        capacity = min(self.capacity + step, self._max_bytes)
         if self._length is not None:
             capacity = self._length
-        if capacity <= self._capacity or capacity > self._hold.get_max_bytes():
+        if capacity <= self.capacity or capacity > self._hold.get_max_bytes():
             raise BodyTooLarge
-        self._hold.take(capacity - self._capacity, self._wait_ms, self._check)
-        self._capacity = capacity
+        self._hold.take(capacity - self.capacity, self._wait_ms, self._check)
+        self.capacity = capacity
         if self._map is not None:
             self._view.release()
             self._map.resize(capacity)
--- a/tests/gateway/test_bodies.py
+++ b/tests/gateway/test_bodies.py
@@ -46,6 +46,14 @@
     def test_single_large_body_may_take_nearly_all(self):
         self.open().take(90 * MEGABYTE, 0)
 
+    def test_reply_in_chunks_fits_beside_the_largest_body(self):
+        """Its first step was larger than what such a body leaves."""
+        self.budget = MemoryBudget(memory.MIN_BUDGET_BYTES, self.clock)
+        self.open().take(self.budget.get_max_body_bytes(), 0)
+        buffer = self.open(MemoryKind.REPLY).make_buffer(None, 16 * MEGABYTE, 0)
+        for _ in range(8):
+            buffer.append(bytes(100_000))
+
     def test_waiting_body_gets_what_is_given_back(self):
         first, second = self.open(), self.open()
         first.take(60 * MEGABYTE, 0)
@@ -348,6 +356,30 @@
         self.assertEqual(read_answers(connection, 1), [(200, "reply to q2")])
         self.assertEqual(self.memory.get_held(MemoryKind.BODY), 0)
 
+    def share_memory(self, reply_body):
+        """Let the replies, which have a body, take memory from the same budget."""
+        self.pool._memory = self.memory
+        for item in self.instances:
+            item.reply_body = reply_body
+
+    def test_reply_gets_the_memory_of_its_own_request(self):
+        """An order ran and was answered 502: its body left too little for the reply."""
+        self.share_memory(b"y" * 300_000)
+        connection = self.connect()
+        connection.sendall(make_request("q1", "/o/x", b"x" * 460_000))
+        self.assertEqual(read_answers(connection, 1), [(200, "y" * 300_000)])
+        self.assertEqual(self.count_runs(), 1)
+        connection.sendall(make_request("q2", "/o/x", b"x" * 460_000))
+        self.assertEqual(read_answers(connection, 1), [(200, "y" * 300_000)])
+
+    def test_last_attempt_of_a_lookup_gets_the_memory_of_its_body(self):
+        """Until then the body is kept, since another attempt would need it."""
+        self.share_memory(b"y" * 300_000)
+        connection = self.connect()
+        connection.sendall(make_request("q1", "/p/x", b"x" * 460_000))
+        self.assertEqual(read_answers(connection, 1), [(200, "y" * 300_000)])
+        self.assertEqual(self.count_runs(), 2)
+
     def test_stalled_body_is_refused_while_another_one_needs_its_memory(self):
         """Callers that stopped short of the end kept their memory for 15 s."""
         self.enterContext(mock.patch.object(memory, "STALL_MS", 50))
