Let small waits for memory pass a large one only for half of its wait

A steady stream of them kept a body of 64 MB from its memory. Times in which the first in line is not passed last 0.5 s and alternate with times in which it is, so that a series of large bodies does not keep the small ones out.

--- a/damaskdyke/gateway/memory.py
+++ b/damaskdyke/gateway/memory.py
@@ -47,6 +47,12 @@
 # Holds that wait for at most this pass one that does not fit: a body of 64 MB kept all
 # those over 64 KB waiting.
 MAX_PASSING_BYTES = 1024 * 1024
+# Part of its wait during which the first one in line is passed: after that a steady
+# stream of small ones would still have kept a body of 64 MB from its memory.
+PASSING_WAIT_SHARE = 0.5
+# Longest time for which it is not passed, and the least time for which those behind it
+# pass again: a series of large bodies must not keep the small ones out.
+MAX_BARRED_MS = 500
 # Longest wait of a request's body for memory, and its limit as a part of the deadline:
 # the caller needs the rest for a retry.
 MAX_WAIT_MS = 1_000
@@ -270,16 +276,74 @@
 
 
 class Waiter:
-    """A hold that waits for bytes; ``granted`` is set once it has them."""
+    """A hold that waits for bytes; ``granted`` is set once it has them.
 
-    __slots__ = ("count", "granted", "hold")
+    ``bars_at`` is the moment from which it is not passed while it is first in line.
+    """
+
+    __slots__ = ("bars_at", "count", "granted", "hold")
 
-    def __init__(self, hold: MemoryHold, count: int):
+    def __init__(self, hold: MemoryHold, count: int, bars_at: Millis):
         self.hold = hold
         self.count = count
+        self.bars_at = bars_at
         self.granted = threading.Event()
 
 
+class WaitingLine:
+    """Those that wait for memory from one part of the budget, in order of arrival.
+
+    Small ones pass those that do not fit. Once the first one has waited for a part of
+    its time it is not passed, so that what others give back adds up for it. Such times
+    alternate with times in which it is passed.
+    """
+
+    def __init__(self):
+        self._waiters: deque[Waiter] = deque()
+        self._passed_until = Millis(0)
+
+    def add(self, waiter: Waiter) -> None:
+        """Add a waiter to the end."""
+        self._waiters.append(waiter)
+
+    def remove(self, waiter: Waiter, now: Millis) -> None:
+        """Remove a waiter; after one that was not passed, those behind it pass."""
+        is_barring = self._waiters[0] is waiter and now >= self._get_bar_start()
+        self._waiters.remove(waiter)
+        if is_barring:
+            self._passed_until = Millis(now + MAX_BARRED_MS)
+
+    def may_take(self, count: int, now: Millis) -> bool:
+        """Return whether one at the end of the line may take a number of bytes."""
+        if not self._waiters:
+            return True
+        if count > MAX_PASSING_BYTES:
+            return False
+        barred_ms = now - self._get_bar_start()
+        return barred_ms < 0 or barred_ms % (2 * MAX_BARRED_MS) >= MAX_BARRED_MS
+
+    def may_grant(self, waiter: Waiter, now: Millis) -> bool:
+        """Return whether a waiter may take its memory before those ahead of it."""
+        return self._waiters[0] is waiter or self.may_take(waiter.count, now)
+
+    def grant(self, take: Callable[[Waiter], bool], now: Millis) -> None:
+        """Let those that may take what they wait for; ``take`` returns whether it fits.
+
+        They leave the line.
+        """
+        while self._waiters and take(self._waiters[0]):
+            waiter = self._waiters[0]
+            self.remove(waiter, now)
+            waiter.granted.set()
+        for waiter in list(self._waiters)[1:]:
+            if self.may_take(waiter.count, now) and take(waiter):
+                self._waiters.remove(waiter)
+                waiter.granted.set()
+
+    def _get_bar_start(self) -> Millis:
+        return max(self._passed_until, self._waiters[0].bars_at)
+
+
 class MemoryBudget:
     """Memory that all bodies of the process may take together.
 
@@ -296,9 +360,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._holds: set[MemoryHold] = set()
-        # In the order of arrival; one that does not fit keeps those behind it waiting
-        # that want more than ``MAX_PASSING_BYTES``.
-        self._waiters: dict[Share, deque[Waiter]] = {share: deque() for share in Share}
+        self._lines = {share: WaitingLine() for share in Share}
         self._held = dict.fromkeys(MemoryKind, 0)
         self._total = 0
         # What the waiting holds want, and when stalled holds were last looked for.
@@ -340,13 +402,14 @@
         check: Callable[[], None] | None,
     ) -> None:
         """Take memory for a hold, see :meth:`MemoryHold.take`."""
-        queue = self._waiters[get_share(hold, count)]
+        line = self._lines[get_share(hold, count)]
         with self._lock:
-            may_take = not queue or count <= MAX_PASSING_BYTES
-            if may_take and self._take(hold, count):
+            now = self._clock.now()
+            if line.may_take(count, now) and self._take(hold, count):
                 return
-            waiter = Waiter(hold, count)
-            queue.append(waiter)
+            bars_at = Millis(int(now + wait_ms * PASSING_WAIT_SHARE))
+            waiter = Waiter(hold, count, bars_at)
+            line.add(waiter)
             self._wanted += count
         hold.is_waiting = True
         try:
@@ -359,7 +422,7 @@
             with self._lock:
                 self._wanted -= count
                 if not waiter.granted.is_set():
-                    queue.remove(waiter)
+                    line.remove(waiter, self._clock.now())
                     self._grant()
 
     def close(self, hold: MemoryHold) -> None:
@@ -404,8 +467,8 @@
                     return
                 stalled = []
                 # Memory that is freed for one that may not take it yet is lost.
-                queue = self._waiters[get_share(hold, count)]
-                if queue[0] is waiter or count <= MAX_PASSING_BYTES:
+                line = self._lines[get_share(hold, count)]
+                if line.may_grant(waiter, self._clock.now()):
                     has_waited = waited_ms >= patient_ms
                     stalled = self._revoke_stalled(hold, count, has_waited)
                 is_first = self._is_first_to_grow(hold)
@@ -449,14 +512,9 @@
         """Let those that wait take what is free."""
         if not self._wanted:
             return
-        for queue in self._waiters.values():
-            while queue and self._take(queue[0].hold, queue[0].count):
-                queue.popleft().granted.set()
-            for waiter in list(queue)[1:]:
-                may_pass = waiter.count <= MAX_PASSING_BYTES
-                if may_pass and self._take(waiter.hold, waiter.count):
-                    queue.remove(waiter)
-                    waiter.granted.set()
+        now = self._clock.now()
+        for line in self._lines.values():
+            line.grant(lambda waiter: self._take(waiter.hold, waiter.count), now)
 
     def _take(self, hold: MemoryHold, count: int) -> bool:
         if self._compute_excess(hold, count) > 0:
--- a/tests/gateway/test_bodies.py
+++ b/tests/gateway/test_bodies.py
@@ -4,10 +4,11 @@
 import io
 import threading
 import unittest
+from collections import deque
 from unittest import mock
 
 from damaskdyke.conf.vm import DEFAULT_MEMORY_MB
-from damaskdyke.core.clock import Clock
+from damaskdyke.core.clock import Clock, ManualClock, Millis
 from damaskdyke.gateway import bodies, crowding, memory
 from damaskdyke.gateway.memory import (
     SMALL_BODY_BYTES,
@@ -17,6 +18,8 @@
     MemoryKind,
     MemoryRefused,
     RefusalReason,
+    Waiter,
+    WaitingLine,
 )
 from damaskdyke.testbed.processes import wait_for
 from tests.gateway.test_pipelining import PipeliningCase, make_request, read_answers
@@ -166,6 +169,43 @@
             self.open().take(2 * MEGABYTE, 300)
         self.assertFalse(stalled.is_revoked)
 
+    def test_steady_stream_does_not_starve_the_largest_body(self):
+        """Small bodies passed it without end, so that it never found its memory."""
+        self.clock = ManualClock(1_000)
+        self.budget = MemoryBudget(100 * MEGABYTE, self.clock)
+        stream = deque(self.open() for _ in range(40))
+        for hold in stream:
+            hold.take(MEGABYTE, 0)
+        largest = self.open()
+        self.start_taking(largest, 64 * MEGABYTE)
+        self.addCleanup(self.clock.advance, 10_000)
+        refused_at = []
+        while not largest.size and self.clock.now() < 3_500:
+            self.clock.advance(10)
+            stream.popleft().close()
+            hold = self.open()
+            try:
+                hold.take(MEGABYTE, 0)
+                stream.append(hold)
+            except MemoryRefused:
+                refused_at.append(self.clock.now())
+        self.assertEqual(largest.size, 64 * MEGABYTE)
+        # The body waits for up to 3 s.
+        self.assertEqual(refused_at[0], 2_500)
+
+    def test_series_of_large_bodies_does_not_keep_small_ones_out(self):
+        """Behind a large body that was not passed, another one is at first."""
+        line = WaitingLine()
+        hold = self.open()
+        first, second = (Waiter(hold, 64 * MEGABYTE, Millis(x)) for x in (500, 600))
+        line.add(first)
+        line.add(second)
+        passing = [x for x in range(0, 2_000, 250) if line.may_take(MEGABYTE, x)]
+        self.assertEqual(passing, [0, 250, 1_000, 1_250])
+        line.remove(first, Millis(900))
+        passing = [x for x in range(1_000, 2_000, 250) if line.may_take(MEGABYTE, x)]
+        self.assertEqual(passing, [1_000, 1_250])
+
     def start_taking(self, hold, size):
         """Let a hold wait for memory, in a thread that ends before the holds do."""
 
