Close the slowest unread replies when they leave no memory to small bodies

Replies that callers did not read held over 0.8 of the budget, and small orders were refused until they ended. A reply whose caller makes progress is not closed.

Seen: tests.gateway.test_bodies, test_forwarding and test_pipelining without failures; the new test fails without the change.

--- a/damaskdyke/gateway/memory.py
+++ b/damaskdyke/gateway/memory.py
@@ -67,6 +67,9 @@
 # Part of its wait after which a waiting request body makes stalled bodies give way, and
 # a waiting reply stalled replies: a caller that only paused may go on meanwhile.
 REVOKE_WAIT_SHARE = 0.5
+# Part of the budget down to which unread replies give way to a small body. Without a
+# gap to its own share, each small body in turn would wait for the end of a reply.
+RELIEF_SHARE = 0.7
 # Retry-After of a refusal: callers without progress have given way by then.
 RETRY_AFTER_MS = 500
 # A caller counts as stalled if it has transferred less than the larger of a number of
@@ -553,6 +556,12 @@
             if other.is_waiting and other.is_large
         )
 
+    def _is_shut_out(self, hold: MemoryHold, count: int) -> bool:
+        """Return whether a small body would not fit even if no other was held."""
+        is_small = get_share(hold, count) is Share.SMALL_BODY
+        limit = int(self.max_bytes * SMALL_BODY_SHARE)
+        return is_small and self._held[MemoryKind.REPLY] + count > limit
+
     def _revoke_stalled(
         self, hold: MemoryHold, count: int, has_waited: bool
     ) -> list[tuple[MemoryHold, int]]:
@@ -560,8 +569,9 @@
 
         Bodies of requests come first, of these the ones without progress for the
         longest, and only as many as the waiting hold needs; none if all of them are too
-        few. A reply never gives way to the body of a request: its order has run, while
-        the body can be refused without loss.
+        few. A reply does not give way to the body of a request, since its order has run
+        while the body can be refused without loss, unless replies leave no memory to
+        any small body.
         """
         is_reply = hold.kind is MemoryKind.REPLY
         if not (has_waited or is_reply):
@@ -571,7 +581,8 @@
         if scanned_at is not None and now - scanned_at < SCAN_INTERVAL_MS:
             return []
         self._scanned_at[hold.kind, has_waited] = now
-        may_end_replies = is_reply and has_waited
+        is_shut_out = self._is_shut_out(hold, count)
+        may_end_replies = (is_reply or is_shut_out) and has_waited
         gone = {x for x in self._holds if x.is_revoked}
         stalled = [
             (other.get_stalled_ms(now), other)
@@ -584,9 +595,12 @@
         all_gone = gone.union(other for _, other in stalled)
         if self._compute_excess(hold, count, all_gone) > 0:
             return []
+        relief = 0
+        if is_shut_out:
+            relief = int(self.max_bytes * (SMALL_BODY_SHARE - RELIEF_SHARE))
         revoked = []
         for stalled_ms, other in stalled:
-            if self._compute_excess(hold, count, gone) <= 0:
+            if self._compute_excess(hold, count, gone) <= -relief:
                 break
             other.is_revoked = True
             gone.add(other)
--- a/tests/gateway/test_bodies.py
+++ b/tests/gateway/test_bodies.py
@@ -1,6 +1,7 @@
 """Tests of the memory budget and of bodies in chunks."""
 
 import contextlib
+import functools
 import io
 import threading
 import unittest
@@ -123,6 +124,31 @@
         self.assertTrue(reply.is_revoked)
         self.assertGreaterEqual(self.clock.now() - started_at, 200)
 
+    def test_unread_replies_give_way_to_small_bodies_that_they_shut_out(self):
+        """Replies that nobody read held over 0.8, and small orders were refused."""
+        ended = []
+
+        def end(number, reply):
+            ended.append(number)
+            reply.close()
+
+        for number in range(9):
+            reply = self.open_stalled(MemoryKind.REPLY, 10 * MEGABYTE)
+            reply._progress_at -= number * STALL_MS
+            reply.on_revoke = functools.partial(end, number, reply)
+        self.open().take(5_000, 100)
+        self.assertEqual(ended, [8, 7, 6])
+        # The next small bodies find memory at once.
+        self.open().take(SMALL_BODY_BYTES, 0)
+
+    def test_replies_that_are_read_do_not_give_way_to_small_bodies(self):
+        replies = [self.open_stalled(MemoryKind.REPLY, 30 * MEGABYTE) for _ in range(3)]
+        for reply in replies:
+            reply.restart_progress()
+        with self.assertRaises(MemoryRefused):
+            self.open().take(5_000, 50)
+        self.assertFalse(any(item.is_revoked for item in replies))
+
     def test_nothing_gives_way_if_it_would_not_be_enough(self):
         """Both were lost: the stalled body, and the one that it was too small for."""
         self.open().take(50 * MEGABYTE, 0)
