Split the memory budget by concern

The budget, what one body holds, the order of those that wait, the choice of those that give way, and buffers are modules of their own. Behaviour is unchanged.

--- a/damaskdyke/gateway/bodies.py
+++ b/damaskdyke/gateway/bodies.py
@@ -5,12 +5,9 @@
 
 from cheroot.server import HTTPRequest
 
-from damaskdyke.gateway.memory import (
-    BodyBuffer,
-    BodyTooLarge,
-    MemoryHold,
-    compute_wait_ms,
-)
+from damaskdyke.gateway.body_buffers import BodyBuffer, BodyTooLarge
+from damaskdyke.gateway.memory import compute_wait_ms
+from damaskdyke.gateway.memory_holds import MemoryHold
 from damaskdyke.utils.polling import is_hung_up
 
 # Largest part of a body that is read at once.
--- a/damaskdyke/gateway/callers.py
+++ b/damaskdyke/gateway/callers.py
@@ -22,8 +22,8 @@
     HeadRefused,
     has_bare_cr,
 )
-from damaskdyke.gateway.memory import (
-    MAX_WAIT_MS,
+from damaskdyke.gateway.memory import MAX_WAIT_MS
+from damaskdyke.gateway.memory_holds import (
     STALL_MS,
     MemoryHold,
     MemoryKind,
--- a/damaskdyke/gateway/crowding.py
+++ b/damaskdyke/gateway/crowding.py
@@ -10,12 +10,8 @@
 from typing import Protocol
 
 from damaskdyke.core.clock import Clock, Millis
-from damaskdyke.gateway.memory import (
-    BYTES_PER_MB,
-    CONNECTION_BYTES,
-    CONNECTION_SHARE,
-    STALL_MS,
-)
+from damaskdyke.gateway.memory import BYTES_PER_MB, CONNECTION_BYTES, CONNECTION_SHARE
+from damaskdyke.gateway.memory_holds import STALL_MS
 from damaskdyke.utils.logs import log_event
 
 logger = logging.getLogger("damaskdyke.http")
--- a/tests/gateway/test_bodies.py
+++ b/tests/gateway/test_bodies.py
@@ -10,18 +10,16 @@
 
 from damaskdyke.conf.vm import DEFAULT_MEMORY_MB
 from damaskdyke.core.clock import Clock, ManualClock, Millis
-from damaskdyke.gateway import bodies, crowding, memory
-from damaskdyke.gateway.memory import (
-    SMALL_BODY_BYTES,
+from damaskdyke.gateway import bodies, crowding, memory, memory_revocation
+from damaskdyke.gateway.body_buffers import SMALL_BODY_BYTES, BodyTooLarge
+from damaskdyke.gateway.memory import MemoryBudget
+from damaskdyke.gateway.memory_holds import (
     STALL_MS,
-    BodyTooLarge,
-    MemoryBudget,
     MemoryKind,
     MemoryRefused,
     RefusalReason,
-    Waiter,
-    WaitingLine,
 )
+from damaskdyke.gateway.memory_waiting import Waiter, WaitingLine
 from damaskdyke.testbed.processes import wait_for
 from tests.gateway.test_pipelining import PipeliningCase, make_request, read_answers
 
@@ -448,7 +446,7 @@
 
     def test_stalled_body_is_refused_while_another_one_needs_its_memory(self):
         """Callers that stopped short of the end kept their memory for 15 s."""
-        self.enterContext(mock.patch.object(memory, "STALL_MS", 50))
+        self.enterContext(mock.patch.object(memory_revocation, "STALL_MS", 50))
         stalled = self.connect()
         stalled.sendall(make_request("q1", "/o/x", b"x" * 300_000)[:-1])
         wait_for(lambda: self.memory.get_held(MemoryKind.BODY) == 300_000, "the body")
