Refuse requests that crashed two upstreams

Some requests crash every upstream that runs them, and their callers repeat them through other proxies. A request whose connection closed without a byte of a reply, after which the upstream refused a connection, is recorded by a digest of its contents. After one crash it is sent alone and is not hedged; after two it is refused for 60 s by all proxies, which are told by datagrams before the request is answered or sent again.

The code that idl/fleet.thrift yields has to be generated again.

--- /dev/null
+++ b/damaskdyke/fleet/quarantine.py
@@ -0,0 +1,304 @@
+"""Tells all proxies which requests crashed upstreams, and which were served since.
+
+Load pattern: reports are rare, but urgent: a caller repeats such a request at another
+proxy some milliseconds after the answer. Each report is therefore sent to the whole
+zone and to members of each other zone by the thread that saw the crash, before the
+request is answered or sent again. As datagrams get lost, and proxies restart, it is
+repeated for about 2 s. It carries its age, so that late copies are recognised on any
+clock.
+"""
+
+import heapq
+import itertools
+import logging
+import threading
+from dataclasses import dataclass
+from typing import Protocol
+
+from damaskdyke.catalogue.types import Instance
+from damaskdyke.core.clock import MILLIS_PER_SECOND, Clock, Millis
+from damaskdyke.core.ids import RequestId, UpstreamId, ZoneName
+from damaskdyke.dispatch.quarantine import (
+    Fingerprint,
+    QuarantineState,
+    QuarantineTable,
+)
+from damaskdyke.fleet.gen.fleet.ttypes import News, RequestReport
+from damaskdyke.utils.logs import log_event
+from damaskdyke.utils.threads import spawn_restarting
+
+logger = logging.getLogger("damaskdyke.fleet")
+
+# Times after a report at which it is repeated.
+REPEAT_DELAYS_MS = (30, 100, 300, 700, 1_300, 1_900)
+# Longest time for which the repeating thread does not look for new reports.
+MAX_SLEEP_MS = REPEAT_DELAYS_MS[0]
+# Entries that fit into one datagram below the usual limit of a packet.
+REPORTS_PER_DATAGRAM = 16
+# Reports that are being repeated, at most; others are sent once.
+MAX_REPEATED = 1_000
+# Value of the log field ``source`` for a crash that this proxy saw itself.
+OWN_SOURCE = "own"
+
+
+class ReportChannel(Protocol):
+    """What sends the reports; `GossipChannel` does."""
+
+    @property
+    def zone(self) -> ZoneName:
+        """Availability zone of this proxy."""
+
+    def send_request_reports(self, reports: list[RequestReport]) -> None:
+        """Send reports to this zone and to members of each other one."""
+
+    def relay_request_reports(self, datagram: News) -> None:
+        """Pass reports of another zone on to the members of this one."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEvent:
+    """Crash of an upstream while a request was in progress, or a good response to it.
+
+    Parameters
+    ----------
+    fingerprint : Fingerprint
+        Fingerprint of the request.
+    upstream : UpstreamId or None
+        The upstream, ``None`` for a good response.
+    incarnation : int or None
+        Its incarnation.
+    at : Millis
+        Time of the event on the clock of this proxy.
+    """
+
+    fingerprint: Fingerprint
+    upstream: UpstreamId | None
+    incarnation: int | None
+    at: Millis
+
+
+class QuarantineExchange:
+    """Quarantine table of this proxy, which it shares with the fleet.
+
+    It is a context manager; no repeats are sent after the context.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    channel : ReportChannel or None
+        Sends the reports; without it they stay on this proxy.
+    """
+
+    def __init__(self, clock: Clock, channel: ReportChannel | None = None):
+        self._clock = clock
+        self._channel = channel
+        # Guards the table and what is to be repeated.
+        self._lock = threading.Lock()
+        self._table = QuarantineTable()
+        # Heap of the time of the next repeat, a number that orders equal times, the
+        # event, and the repeats so far.
+        self._repeats: list[tuple[int, int, RequestEvent, int]] = []
+        self._numbers = itertools.count()
+        self._is_repeating = False
+        self._stopping = threading.Event()
+
+    def __enter__(self) -> "QuarantineExchange":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stopping.set()
+
+    # Queries.
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether any request is recorded; if not, all are clear."""
+        return not self._table.is_empty
+
+    def get_state(self, fingerprint: Fingerprint) -> QuarantineState:
+        """Return whether, and how, a request may be sent."""
+        with self._lock:
+            return self._table.get_state(fingerprint, self._clock.now())
+
+    def get_remaining_ms(self, fingerprint: Fingerprint) -> int:
+        """Return the time until a request is clear, 0 if it is."""
+        with self._lock:
+            return self._table.get_remaining_ms(fingerprint, self._clock.now())
+
+    def count(self, state: QuarantineState) -> int:
+        """Return the number of requests in a state other than clear."""
+        with self._lock:
+            entries = self._table.list_recent(self._clock.now())
+        return sum(1 for entry in entries if entry.state is state)
+
+    # Reports of this proxy.
+
+    def record_end(
+        self, fingerprint: Fingerprint, instance: Instance, request: RequestId
+    ) -> None:
+        """Record that an upstream crashed while a request was in progress there.
+
+        The fleet is told before this returns.
+        """
+        event = RequestEvent(
+            fingerprint, instance.id, instance.incarnation, self._clock.now()
+        )
+        if self._apply_end(event, OWN_SOURCE, request):
+            self._publish(event)
+
+    def record_good(self, fingerprint: Fingerprint, request: RequestId) -> None:
+        """Record a good response; tell the fleet if the request was not clear."""
+        now = self._clock.now()
+        with self._lock:
+            was_known = self._table.record_good(fingerprint, now)
+        if not was_known:
+            return
+        log_event(
+            logger,
+            "request-cleared",
+            request=request,
+            fingerprint=fingerprint.hex(),
+            source=OWN_SOURCE,
+        )
+        self._publish(RequestEvent(fingerprint, None, None, now))
+
+    # Reports of others.
+
+    def receive(self, datagram: News) -> None:
+        """Apply the reports of another proxy; relay those of another zone in this one.
+
+        They are relayed first, as others may be about to send the request.
+        """
+        if datagram.zone != self._channel.zone and not datagram.is_relayed:
+            self._channel.relay_request_reports(datagram)
+        now = self._clock.now()
+        for report in datagram.requests:
+            event = decode_request_report(report, now)
+            if event.upstream is not None:
+                self._apply_end(event, datagram.ip)
+                continue
+            with self._lock:
+                was_known = self._table.record_good(event.fingerprint, now, event.at)
+            if was_known:
+                log_event(
+                    logger,
+                    "request-cleared",
+                    fingerprint=event.fingerprint.hex(),
+                    source=datagram.ip,
+                )
+
+    def _apply_end(
+        self, event: RequestEvent, source: str, request: RequestId | None = None
+    ) -> bool:
+        """Record a crash; return whether it is new."""
+        now = self._clock.now()
+        with self._lock:
+            is_new = self._table.record_end(
+                event.fingerprint, event.upstream, event.incarnation, event.at, now
+            )
+            count = self._table.count_ends(event.fingerprint)
+        if is_new:
+            log_event(
+                logger,
+                "upstream-ended",
+                logging.WARNING,
+                request=request,
+                upstream=event.upstream,
+                incarnation=event.incarnation,
+                fingerprint=event.fingerprint.hex(),
+                count=count,
+                source=source,
+            )
+        return is_new
+
+    # Sending.
+
+    def _publish(self, event: RequestEvent) -> None:
+        if self._channel is None:
+            return
+        self._send([event])
+        with self._lock:
+            if len(self._repeats) >= MAX_REPEATED:
+                log_event(
+                    logger,
+                    "repeat-left-out",
+                    logging.WARNING,
+                    fingerprint=event.fingerprint.hex(),
+                )
+                return
+            self._schedule(event, 0)
+            if self._is_repeating:
+                return
+            self._is_repeating = True
+        spawn_restarting("quarantine-repeats", self._repeat)
+
+    def _schedule(self, event: RequestEvent, repeats: int) -> None:
+        """Queue the next repeat of a report, if any; called with the lock held."""
+        now = self._clock.now()
+        for number, delay_ms in enumerate(REPEAT_DELAYS_MS[repeats:], repeats):
+            due_at = event.at + delay_ms
+            # A process that was suspended sends one of the repeats that it missed.
+            if due_at > now:
+                item = (due_at, next(self._numbers), event, number)
+                heapq.heappush(self._repeats, item)
+                return
+
+    def _repeat(self) -> None:
+        """Repeat reports until none is left. Runs in a thread that exists meanwhile."""
+        while True:
+            with self._lock:
+                if not self._repeats or self._stopping.is_set():
+                    self._is_repeating = False
+                    return
+                now = self._clock.now()
+                due_at = self._repeats[0][0]
+                events = self._take_due(now)
+            if events:
+                self._send(events)
+            elif due_at > now:
+                sleep_ms = min(due_at - now, MAX_SLEEP_MS)
+                self._stopping.wait(sleep_ms / MILLIS_PER_SECOND)
+
+    def _take_due(self, now: Millis) -> list[RequestEvent]:
+        """Return the reports to repeat now, at most one datagram's.
+
+        A crash is not repeated once the request is clear.
+        """
+        events = []
+        while self._repeats and len(events) < REPORTS_PER_DATAGRAM:
+            due_at, _, event, repeats = self._repeats[0]
+            if due_at > now:
+                break
+            heapq.heappop(self._repeats)
+            state = self._table.get_state(event.fingerprint, now)
+            if event.upstream is not None and state is QuarantineState.CLEAR:
+                continue
+            events.append(event)
+            self._schedule(event, repeats + 1)
+        return events
+
+    def _send(self, events: list[RequestEvent]) -> None:
+        """Send reports with their present ages."""
+        now = self._clock.now()
+        self._channel.send_request_reports(
+            [encode_request_report(event, now) for event in events]
+        )
+
+
+def encode_request_report(event: RequestEvent, now: Millis) -> RequestReport:
+    """Return a report with its age at ``now``."""
+    return RequestReport(
+        event.fingerprint, event.upstream, event.incarnation, now - event.at
+    )
+
+
+def decode_request_report(report: RequestReport, now: Millis) -> RequestEvent:
+    """Return the event that a report received at ``now`` is about."""
+    upstream = None if report.upstream is None else UpstreamId(report.upstream)
+    return RequestEvent(
+        Fingerprint(report.fingerprint),
+        upstream,
+        report.born,
+        Millis(now - report.age_ms),
+    )
--- a/damaskdyke/gateway/pool.py
+++ b/damaskdyke/gateway/pool.py
@@ -12,6 +12,8 @@
 
 # A healthy upstream accepts within 4 ms; a lost packet would be resent only after 1 s.
 CONNECT_TIMEOUT_MS = 250
+# A refusal arrives as fast as an acceptance; the caller's request waits for it.
+REFUSAL_TIMEOUT_MS = 50
 # A connection that was used within this time is trusted with a non-idempotent request:
 # it worked in both directions a moment ago.
 PROVEN_MAX_IDLE_MS = 1_000
@@ -94,12 +96,28 @@
                     Failure.LIMIT, f"all {max_connections} connections are open"
                 )
             self._open_counts[instance.id] = self._open_counts.get(instance.id, 0) + 1
+        return self._open(instance, max(1, min(CONNECT_TIMEOUT_MS, timeout_ms)))
+
+    def is_refused(self, instance: Instance) -> bool:
+        """Return whether a new connection is refused, as nothing listens there.
+
+        One that the upstream accepts is kept for later requests. The limits do not hold
+        for it: it replaces a connection that was just lost.
+        """
+        with self._lock:
+            self._open_counts[instance.id] = self._open_counts.get(instance.id, 0) + 1
+        try:
+            connection = self._open(instance, REFUSAL_TIMEOUT_MS)
+        except UpstreamError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        self.release(connection)
+        return False
+
+    def _open(self, instance: Instance, timeout_ms: int) -> UpstreamConnection:
+        """Open a connection that is counted as open already."""
         try:
             connection = UpstreamConnection(
-                instance,
-                max(1, min(CONNECT_TIMEOUT_MS, timeout_ms)),
-                self._clock,
-                self._memory,
+                instance, timeout_ms, self._clock, self._memory
             )
         except BaseException:
             self._decrement_open(instance.id)
