--- a/damaskdyke/dispatch/quarantine.py
+++ b/damaskdyke/dispatch/quarantine.py
@@ -60,11 +60,11 @@
     good_at: Millis | None = None
     updated_at: Millis = Millis(0)
 
-    def list_counted(self) -> list[Millis]:
-        """Return the times of the crashes since the last good response."""
+    def get_counted(self) -> dict[tuple[UpstreamId, int], Millis]:
+        """Return the crashes since the last good response."""
         if self.good_at is None:
-            return list(self.ends.values())
-        return [at for at in self.ends.values() if at > self.good_at]
+            return self.ends
+        return {key: at for key, at in self.ends.items() if at > self.good_at}
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,15 +77,16 @@
         Fingerprint of the request.
     state : QuarantineState
         Its state.
-    upstreams : tuple of UpstreamId
-        Upstreams that crashed while handling it.
+    ends : dict
+        Times of the crashes since its last good response, by id and incarnation of the
+        upstream.
     remaining_ms : int
         Time until it is clear.
     """
 
     fingerprint: Fingerprint
     state: QuarantineState
-    upstreams: tuple[UpstreamId, ...]
+    ends: dict[tuple[UpstreamId, int], Millis]
     remaining_ms: int
 
 
@@ -173,15 +174,15 @@
         """Return the time until a request is clear, 0 if it is."""
         self._remove_expired(now)
         entry = self._entries.get(fingerprint)
-        counted = [] if entry is None else entry.list_counted()
+        counted = {} if entry is None else entry.get_counted()
         if not counted:
             return 0
-        return max(0, max(counted) + QUARANTINE_MS - now)
+        return max(0, max(counted.values()) + QUARANTINE_MS - now)
 
     def count_ends(self, fingerprint: Fingerprint) -> int:
         """Return the crashes since the last good response to a request."""
         entry = self._entries.get(fingerprint)
-        return 0 if entry is None else len(entry.list_counted())
+        return 0 if entry is None else len(entry.get_counted())
 
     def list_recent(self, now: Millis) -> list[QuarantineSummary]:
         """Return the requests that are suspect or quarantined, the latest last."""
@@ -190,9 +191,9 @@
             state = self.get_state(fingerprint, now)
             if state is QuarantineState.CLEAR:
                 continue
-            upstreams = tuple(upstream for upstream, _ in entry.ends)
             remaining_ms = self.get_remaining_ms(fingerprint, now)
-            found.append(QuarantineSummary(fingerprint, state, upstreams, remaining_ms))
+            ends = dict(entry.get_counted())
+            found.append(QuarantineSummary(fingerprint, state, ends, remaining_ms))
         return found
 
     def _add(self, fingerprint: Fingerprint) -> QuarantineEntry:
--- a/damaskdyke/fleet/quarantine.py
+++ b/damaskdyke/fleet/quarantine.py
@@ -3,9 +3,9 @@
 Load pattern: reports are rare, but urgent: a caller repeats such a request at another
 proxy some milliseconds after the answer. Each report is therefore sent to the whole
 zone and to members of each other zone by the thread that saw the crash, before the
-request is answered or sent again. As datagrams get lost, and proxies restart, it is
-repeated for about 2 s. It carries its age, so that late copies are recognised on any
-clock.
+request is answered or sent again. As datagrams get lost, it is repeated for about 2 s;
+a proxy that asks another one for members, as it does when it starts, is told of all. A
+report carries its age, so that late copies are recognised on any clock.
 """
 
 import heapq
@@ -37,6 +37,8 @@
 REPORTS_PER_DATAGRAM = 16
 # Reports that are being repeated, at most; others are sent once.
 MAX_REPEATED = 1_000
+# Latest requests that a proxy is told of when it asks for members.
+MAX_TOLD_REQUESTS = 64
 # Value of the log field ``source`` for a crash that this proxy saw itself.
 OWN_SOURCE = "own"
 
@@ -163,6 +165,22 @@
         )
         self._publish(RequestEvent(fingerprint, None, None, now))
 
+    def list_reports(self) -> list[list[RequestReport]]:
+        """Return reports of the recorded crashes, by datagram, for a proxy that asks.
+
+        One that restarted has no other source of the reports sent before.
+        """
+        now = self._clock.now()
+        with self._lock:
+            entries = self._table.list_recent(now)[-MAX_TOLD_REQUESTS:]
+        reports = [
+            encode_request_report(RequestEvent(entry.fingerprint, *key, at), now)
+            for entry in entries
+            for key, at in entry.ends.items()
+        ]
+        starts = range(0, len(reports), REPORTS_PER_DATAGRAM)
+        return [reports[start : start + REPORTS_PER_DATAGRAM] for start in starts]
+
     # Reports of others.
 
     def receive(self, datagram: News) -> None:
--- a/tests/dispatch/test_quarantine.py
+++ b/tests/dispatch/test_quarantine.py
@@ -106,7 +106,7 @@
         for number in range(2 * MAX_ENDS):
             self.record_end(f"u{number}", number)
         (entry,) = self.table.list_recent(2 * MAX_ENDS)
-        self.assertEqual(len(entry.upstreams), MAX_ENDS)
+        self.assertEqual(len(entry.ends), MAX_ENDS)
 
 
 class FingerprintTest(unittest.TestCase):
--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -1,6 +1,7 @@
 """Tests that all proxies know of a request that crashes upstreams, over UDP."""
 
 import unittest
+from unittest import mock
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
@@ -8,6 +9,7 @@
 from damaskdyke.conf.vm import DEFAULT_BOUNDS, StoreSettings, VmSettings
 from damaskdyke.core.clock import Clock, ManualClock
 from damaskdyke.dispatch.quarantine import QuarantineState
+from damaskdyke.fleet import quarantine
 from damaskdyke.fleet.gen.fleet.ttypes import News, RequestReport
 from damaskdyke.fleet.gossip import GossipChannel
 from damaskdyke.fleet.members import FleetMembers
@@ -45,6 +47,7 @@
         gossip = GossipChannel(settings, number, FleetMembers(ip, zone), clock)
         exchange = QuarantineExchange(clock, gossip)
         gossip.on_request_reports = exchange.receive
+        gossip.list_request_reports = exchange.list_reports
         self.fleet.append((gossip, exchange))
         self.enterContext(gossip)
         self.enterContext(exchange)
@@ -108,6 +111,15 @@
         self.record_ends()
         self.wait_for_state(QuarantineState.QUARANTINED)
 
+    def test_proxy_that_starts_later_is_told(self):
+        """A restarted proxy had no reports, and let two more upstreams crash."""
+        with mock.patch.object(quarantine, "REPEAT_DELAYS_MS", ()):
+            self.start_fleet("ab")
+            self.record_ends()
+            self.wait_for_state(QuarantineState.QUARANTINED)
+            self.start(3, "b")
+            self.wait_for_state(QuarantineState.QUARANTINED)
+
 
 class RecordingChannel:
     """Keeps what is sent and relayed."""
