Let zone rates, proofs and request reports send their own datagrams

The gossip channel keeps heartbeats, members, load reports and changes of the catalogue; the modules of the other contents register a handler and add their content to a datagram. Behaviour stays.

--- a/damaskdyke/fleet/proofs.py
+++ b/damaskdyke/fleet/proofs.py
@@ -1,10 +1,12 @@
 """Questions and answers by which proxies prove their catalogues to each other."""
 
 import random
+import threading
+from typing import Protocol
 
-from damaskdyke.core.clock import Millis
+from damaskdyke.core.clock import Clock, Millis
 from damaskdyke.fleet.audience import Audience
-from damaskdyke.fleet.gen.fleet.ttypes import FreshnessProof
+from damaskdyke.fleet.gen.fleet.ttypes import FreshnessProof, News
 from damaskdyke.fleet.members import FleetMembers, Member
 from damaskdyke.workspaces.freshness import FreshnessTracker, QuestionScope
 
@@ -63,3 +65,71 @@
         """Record the proof that another proxy sent in answer to a question."""
         asked_at = Millis(proof.asked_at)
         self._freshness.record_answer(asked_at, proof.age_ms, proof.revision)
+
+
+class ProofChannel(Protocol):
+    """What sends the questions and the answers; `GossipChannel` does."""
+
+    def get_revision(self) -> int:
+        """Return the revision of this proxy's catalogue."""
+
+    def make_datagram(self) -> News:
+        """Return a datagram without content."""
+
+    def send(self, datagram: News, ips: list[str]) -> None:
+        """Send a datagram to proxies."""
+
+
+class ProofMessenger:
+    """Sends questions for proofs and the answers to those of others.
+
+    Parameters
+    ----------
+    exchange : ProofExchange
+        Selects whom to ask, and what to answer.
+    channel : ProofChannel
+        Sends the datagrams.
+    lock : threading.Lock
+        Guards the members that the exchange selects from.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        exchange: ProofExchange,
+        channel: ProofChannel,
+        lock: threading.Lock,
+        clock: Clock,
+    ):
+        self._exchange = exchange
+        self._channel = channel
+        self._lock = lock
+        self._clock = clock
+
+    def ask(self, now: Millis) -> None:
+        """Ask for a proof if one is due."""
+        with self._lock:
+            members = self._exchange.list_asked(self._channel.get_revision(), now)
+        if not members:
+            return
+        datagram = self._channel.make_datagram()
+        datagram.proof_asked_at = now
+        self._channel.send(datagram, [member.ip for member in members])
+
+    def receive(self, datagram: News, sender: str) -> None:
+        """Answer a question, if this proxy has a proof, and record an answer."""
+        if datagram.proof_asked_at is not None:
+            self._answer(sender, datagram.proof_asked_at)
+        if datagram.proof is not None:
+            self._exchange.record_answer(datagram.proof)
+
+    def _answer(self, ip: str, asked_at: int) -> None:
+        proof = self._exchange.make_answer(
+            asked_at, self._channel.get_revision(), self._clock.now()
+        )
+        if proof is None:
+            return
+        datagram = self._channel.make_datagram()
+        datagram.proof = proof
+        self._channel.send(datagram, [ip])
--- a/damaskdyke/fleet/quarantine.py
+++ b/damaskdyke/fleet/quarantine.py
@@ -12,6 +12,7 @@
 import itertools
 import logging
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -24,6 +25,7 @@
     QuarantineTable,
 )
 from damaskdyke.fleet.gen.fleet.ttypes import News, RequestReport
+from damaskdyke.fleet.messages import make_relayed
 from damaskdyke.utils.logs import log_event
 from damaskdyke.utils.threads import spawn_restarting
 
@@ -44,17 +46,25 @@
 
 
 class ReportChannel(Protocol):
-    """What sends the reports; `GossipChannel` does."""
+    """What sends and receives the reports; `GossipChannel` does."""
+
+    handlers: list[Callable[[News, str], None]]
 
     @property
     def zone(self) -> ZoneName:
         """Availability zone of this proxy."""
 
-    def send_request_reports(self, reports: list[RequestReport]) -> None:
-        """Send reports to this zone and to members of each other one."""
+    def make_datagram(self) -> News:
+        """Return a datagram without content."""
+
+    def send(self, datagram: News, ips: list[str]) -> None:
+        """Send a datagram to proxies."""
+
+    def send_to_zone(self, datagram: News) -> None:
+        """Send a datagram to the other members of this zone."""
 
-    def relay_request_reports(self, datagram: News) -> None:
-        """Pass reports of another zone on to the members of this one."""
+    def send_to_fleet(self, datagram: News) -> None:
+        """Send a datagram to this zone and to some members of each other zone."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +114,8 @@
         self._numbers = itertools.count()
         self._is_repeating = False
         self._stopping = threading.Event()
+        if channel is not None:
+            channel.handlers.append(self.receive)
 
     def __enter__(self) -> "QuarantineExchange":
         return self
@@ -165,8 +177,8 @@
         )
         self._publish(RequestEvent(fingerprint, None, None, now))
 
-    def list_reports(self) -> list[list[RequestReport]]:
-        """Return reports of the recorded crashes, by datagram, for a proxy that asks.
+    def _tell(self, ip: str) -> None:
+        """Tell a proxy that asks for members of the recorded crashes.
 
         One that restarted has no other source of the reports sent before.
         """
@@ -179,17 +191,28 @@
             for key, at in entry.ends.items()
         ]
         starts = range(0, len(reports), REPORTS_PER_DATAGRAM)
-        return [reports[start : start + REPORTS_PER_DATAGRAM] for start in starts]
+        for start in starts:
+            datagram = self._channel.make_datagram()
+            datagram.requests = reports[start : start + REPORTS_PER_DATAGRAM]
+            # Its zone was told when they happened.
+            datagram.is_relayed = True
+            self._channel.send(datagram, [ip])
 
     # Reports of others.
 
-    def receive(self, datagram: News) -> None:
+    def receive(self, datagram: News, sender: str) -> None:
         """Apply the reports of another proxy; relay those of another zone in this one.
 
         They are relayed first, as others may be about to send the request.
         """
+        if datagram.wants_members and self.is_active:
+            self._tell(sender)
+        if not datagram.requests:
+            return
         if datagram.zone != self._channel.zone and not datagram.is_relayed:
-            self._channel.relay_request_reports(datagram)
+            relayed = make_relayed(datagram)
+            relayed.requests = datagram.requests
+            self._channel.send_to_zone(relayed)
         now = self._clock.now()
         for report in datagram.requests:
             event = decode_request_report(report, now)
@@ -299,9 +322,9 @@
     def _send(self, events: list[RequestEvent]) -> None:
         """Send reports with their present ages."""
         now = self._clock.now()
-        self._channel.send_request_reports(
-            [encode_request_report(event, now) for event in events]
-        )
+        datagram = self._channel.make_datagram()
+        datagram.requests = [encode_request_report(event, now) for event in events]
+        self._channel.send_to_fleet(datagram)
 
 
 def encode_request_report(event: RequestEvent, now: Millis) -> RequestReport:
--- a/damaskdyke/fleet/zone_rates.py
+++ b/damaskdyke/fleet/zone_rates.py
@@ -14,6 +14,7 @@
 from damaskdyke.core.ids import WorkspaceName, ZoneName
 from damaskdyke.fleet.gen.fleet.ttypes import News, WorkspaceRate
 from damaskdyke.fleet.gossip import GossipChannel
+from damaskdyke.fleet.messages import make_relayed
 from damaskdyke.utils.randomness import rank_by_score
 from damaskdyke.utils.threads import spawn_restarting
 from damaskdyke.workspaces.quotas import FleetView
@@ -85,7 +86,7 @@
         # Members of the zone that were known last, and since when.
         self._known_members = 0
         self._members_since = clock.now()
-        gossip.on_zone_rates = self.receive
+        gossip.handlers.append(self.receive)
 
     def __enter__(self) -> "ZoneRateExchange":
         spawn_restarting("zone-rates", self._run)
@@ -115,12 +116,16 @@
         ips = [self._gossip.ip, *(member.ip for member in zone)]
         if self._gossip.ip not in rank_by_score("rates", ips)[:ANNOUNCERS_PER_ZONE]:
             return
-        receivers = [self._random.choice(found) for found in other_zones.values()]
+        receivers = [self._random.choice(found).ip for found in other_zones.values()]
         for group in split_rates(rates):
-            self._gossip.send_zone_rates(group, receivers)
+            datagram = self._gossip.make_datagram()
+            datagram.workspace_rates = group
+            self._gossip.send(datagram, receivers)
 
-    def receive(self, announcement: News) -> None:
+    def receive(self, announcement: News, _: str) -> None:
         """Apply the rates that another zone announced, and relay them in this zone."""
+        if announcement.workspace_rates is None:
+            return
         if announcement.zone == self._gossip.zone:
             return
         rates = [
@@ -129,7 +134,9 @@
         ]
         self._quotas.record_zone_rates(ZoneName(announcement.zone), rates)
         if not announcement.is_relayed:
-            self._gossip.relay_zone_rates(announcement)
+            relayed = make_relayed(announcement)
+            relayed.workspace_rates = announcement.workspace_rates
+            self._gossip.send_to_zone(relayed)
 
     def _check_zone_known(
         self, members: int, has_other_zones: bool, now: Millis
--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -46,8 +46,6 @@
         clock = Clock()
         gossip = GossipChannel(settings, number, FleetMembers(ip, zone), clock)
         exchange = QuarantineExchange(clock, gossip)
-        gossip.on_request_reports = exchange.receive
-        gossip.list_request_reports = exchange.list_reports
         self.fleet.append((gossip, exchange))
         self.enterContext(gossip)
         self.enterContext(exchange)
@@ -99,15 +97,15 @@
         """Loss of a single datagram left a proxy without the report for good."""
         self.start_fleet("aabb")
         gossip = self.fleet[0][0]
-        send = gossip.send_request_reports
+        send = gossip.send_to_fleet
         sent = []
 
-        def lose_first(reports):
-            sent.append(reports)
+        def lose_first(datagram):
+            sent.append(datagram)
             if len(sent) > len(self.instances):
-                send(reports)
+                send(datagram)
 
-        gossip.send_request_reports = lose_first
+        gossip.send_to_fleet = lose_first
         self.record_ends()
         self.wait_for_state(QuarantineState.QUARANTINED)
 
@@ -127,13 +125,17 @@
     zone = "a"
 
     def __init__(self):
+        self.handlers = []
         self.sent = []
         self.relayed = []
 
-    def send_request_reports(self, reports):
-        self.sent += reports
+    def make_datagram(self):
+        return News()
 
-    def relay_request_reports(self, datagram):
+    def send_to_fleet(self, datagram):
+        self.sent += datagram.requests
+
+    def send_to_zone(self, datagram):
         self.relayed.append(datagram)
 
 
@@ -149,7 +151,7 @@
         datagram = News(
             ip="10.0.0.1", zone=zone, is_relayed=is_relayed, requests=[report]
         )
-        self.exchange.receive(datagram)
+        self.exchange.receive(datagram, datagram.ip)
 
     def get_remaining_ms(self):
         return self.exchange.get_remaining_ms(FINGERPRINT)
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -7,6 +7,7 @@
 from damaskdyke.dispatch.outcomes import Outcome
 from damaskdyke.dispatch.quarantine import QuarantineState
 from damaskdyke.fleet import quarantine
+from damaskdyke.fleet.gen.fleet.ttypes import News
 from damaskdyke.fleet.quarantine import QuarantineExchange
 from damaskdyke.gateway import forwarding, pool
 from damaskdyke.gateway.messages import AnswerKind
@@ -23,10 +24,14 @@
     zone = "a"
 
     def __init__(self):
+        self.handlers = []
         self.sent = []
 
-    def send_request_reports(self, reports):
-        self.sent += reports
+    def make_datagram(self):
+        return News()
+
+    def send_to_fleet(self, datagram):
+        self.sent += datagram.requests
 
 
 class QuarantineCase(GatewayCase):
