--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -12,7 +12,7 @@
 from damaskdyke.fleet import quarantine
 from damaskdyke.fleet.gen.fleet.ttypes import News, RequestReport
 from damaskdyke.fleet.gossip import GossipChannel
-from damaskdyke.fleet.members import FleetMembers
+from damaskdyke.fleet.members import MIN_HUB_ZONE_MEMBERS, FleetMembers
 from damaskdyke.fleet.messages import decode_datagram, encode_datagram
 from damaskdyke.fleet.quarantine import REPEAT_DELAYS_MS, QuarantineExchange
 from damaskdyke.testbed.instance import InstanceStandIn
@@ -78,6 +78,17 @@
         self.record_ends()
         self.wait_for_state(QuarantineState.QUARANTINED)
 
+    def test_reports_reach_a_large_zone_and_the_others_without_its_hub(self):
+        """A hub that stands still would withhold them for up to 1.5 s."""
+        size = MIN_HUB_ZONE_MEMBERS + 1
+        self.start_fleet("a" * size + "bb")
+        for gossip, _ in self.fleet:
+            wait_for(lambda gossip=gossip: all(gossip.list_members()), "both zones")
+        with mock.patch.object(GossipChannel, "_queue_for_relay") as relay:
+            self.record_ends(size // 2)
+            self.wait_for_state(QuarantineState.QUARANTINED)
+        relay.assert_not_called()
+
     def test_crashes_that_proxies_of_several_zones_see_add_up(self):
         self.start_fleet("abc")
         self.fleet[0][1].record_end(FINGERPRINT, self.instances[0], "q1")
