--- a/damaskdyke/fleet/quarantine.py
+++ b/damaskdyke/fleet/quarantine.py
@@ -272,7 +272,13 @@
             if self._is_repeating:
                 return
             self._is_repeating = True
-        spawn_restarting("quarantine-repeats", self._repeat)
+        try:
+            spawn_restarting("quarantine-repeats", self._repeat)
+        except RuntimeError as error:
+            # The system has no further thread; the next report tries again.
+            with self._lock:
+                self._is_repeating = False
+            log_event(logger, "thread-refused", logging.ERROR, error=repr(error))
 
     def _schedule(self, event: RequestEvent, repeats: int) -> None:
         """Queue the next repeat of a report, if any; called with the lock held."""
--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -183,6 +183,16 @@
             wait_for(lambda n=number: len(self.channel.sent) == n + 2, "a repeat")
         wait_for(lambda: not self.exchange._is_repeating, "the end of the repeats")
 
+    def test_lack_of_threads_fails_no_request_and_ends_no_repeats(self):
+        """The thread that reports a crash is that of a caller's request."""
+        with mock.patch.object(
+            quarantine, "spawn_restarting", side_effect=RuntimeError("no thread")
+        ):
+            self.exchange.record_end(FINGERPRINT, self.instance, "q1")
+        self.exchange.record_end(FINGERPRINT, InstanceStandIn("u2").describe(), "q1")
+        self.clock.advance(REPEAT_DELAYS_MS[0])
+        wait_for(lambda: len(self.channel.sent) == 4, "the repeats of both")
+
     def test_crash_is_not_repeated_after_a_good_response(self):
         self.exchange.record_end(FINGERPRINT, self.instance, "q1")
         self.exchange.record_good(FINGERPRINT, "q2")
