--- /dev/null
+++ b/damaskdyke/conf/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of the operators' configuration beyond what its decoder requires."""
--- a/damaskdyke/core/management/base.py
+++ b/damaskdyke/core/management/base.py
@@ -28,11 +28,11 @@
     ----------
     message : str
         Text for standard error.
-    code : ExitCode
+    code : IntEnum
         Exit code of the process.
     """
 
-    def __init__(self, message: str, code: ExitCode = ExitCode.FAILED):
+    def __init__(self, message: str, code: IntEnum = ExitCode.FAILED):
         super().__init__(message)
         self.code = code
 
@@ -42,14 +42,18 @@
 
     # One sentence for the list of commands and for the command's own help.
     help = ""
+    # Exit code for wrong arguments.
+    usage_code: IntEnum = ExitCode.USAGE
 
     def add_arguments(self, parser: ArgumentParser) -> None:
         """Add the command's arguments to its parser."""
 
     @abstractmethod
-    def handle(self, options: Namespace) -> ExitCode:
+    def handle(self, options: Namespace) -> IntEnum:
         """Run the command and return the exit code.
 
+        It is an `ExitCode` unless the command documents codes of its own.
+
         Raises
         ------
         CommandError
