--- a/damaskdyke/conf/checks/differences.py
+++ b/damaskdyke/conf/checks/differences.py
@@ -518,8 +518,12 @@
     if old.rules.directory is None or new.rules.directory is None:
         return
     new_indexes = index_workspaces(new)
+    is_unshared = have_no_shared_keys(old, new)
     for placed in list_in_force(old):
         name = placed.item.name
+        known = new.rules.directory.find(name)
+        if is_unshared and known is not None and known.keys == placed.item.keys:
+            continue
         revoked, moved = find_lost_keys(placed.item, old, new)
         index = new_indexes.get(name)
         if index is None:
@@ -553,6 +557,15 @@
             )
 
 
+def have_no_shared_keys(old: Configuration, new: Configuration) -> bool:
+    """Return whether in both versions each key belongs to the one that lists it.
+
+    Workspaces that did not change then have the same keys, and need no search.
+    """
+    directories = old.rules.directory, new.rules.directory
+    return not any(directory.shared_key_count for directory in directories)
+
+
 def find_lost_keys(
     workspace: Workspace, old: Configuration, new: Configuration
 ) -> tuple[int, dict[WorkspaceName, int]]:
@@ -592,9 +605,12 @@
     """Report added workspaces, and other quotas and priorities."""
     if old.rules.directory is None or new.rules.directory is None:
         return
+    is_unshared = have_no_shared_keys(old, new)
     for placed in list_in_force(new):
         name = placed.item.name
         known = old.rules.directory.find(name)
+        if is_unshared and known == placed.item:
+            continue
         if known is None:
             yield Finding(
                 "differences.workspace-added",
@@ -608,10 +624,9 @@
         yield from compare_attributes(
             WORKSPACE_COMPARISONS, f"workspace {quote(name)}", known, placed, new
         )
-        gained = set(placed.item.keys) - set(known.keys)
         count = sum(
             find_holder(new, key) == name and find_holder(old, key) is None
-            for key in gained
+            for key in set(placed.item.keys)
         )
         if count:
             yield Finding(
--- a/damaskdyke/management/commands/check_config.py
+++ b/damaskdyke/management/commands/check_config.py
@@ -1,8 +1,11 @@
 """Command that checks a configuration of the platform's store before it is deployed."""
 
+import contextlib
+import gc
 import json
 from argparse import ArgumentParser, Namespace
 from collections import Counter
+from collections.abc import Iterator
 from enum import IntEnum
 from pathlib import Path
 
@@ -61,6 +64,11 @@
 
     def handle(self, options: Namespace) -> CheckCode:
         """Check the file, print the findings and return the code of the heaviest."""
+        with pause_garbage_collection():
+            return self.check(options)
+
+    def check(self, options: Namespace) -> CheckCode:
+        """Check the files that the options name."""
         configuration = load_configuration(options.file)
         in_force = load_in_force(options.against) if options.against else None
         settings = load_settings(options.settings) if options.settings else None
@@ -76,6 +84,21 @@
         return CheckCode.WARNINGS if counts[Severity.WARNING] else CheckCode.PASSED
 
 
+@contextlib.contextmanager
+def pause_garbage_collection() -> Iterator[None]:
+    """Keep the collector from scanning the entries, of which none becomes garbage.
+
+    At 170,000 workspaces its scans took a third of the time.
+    """
+    was_enabled = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was_enabled:
+            gc.enable()
+
+
 def load_configuration(path: Path) -> Configuration:
     """Return the configuration in a file.
 
--- a/damaskdyke/platform/problems.py
+++ b/damaskdyke/platform/problems.py
@@ -59,7 +59,8 @@
         self, kind: EntryKind, index: int, item: Any, error: Exception
     ) -> None:
         """Collect an entry that is left out."""
-        self.left_out[kind].append(LeftOut(index, item, error))
+        left_out = LeftOut(index, item, error.with_traceback(None))
+        self.left_out[kind].append(left_out)
 
     def report_unknown_type(self, item: dict, name: str) -> None:
         """Collect a route with a type that this version does not know."""
@@ -90,7 +91,8 @@
         decode(value)
         return []
     except Exception as error:
-        failure = error
+        # A traceback would keep the frames, and so the values, alive.
+        failure = error.with_traceback(None)
     found: list[Problem] = []
     if isinstance(value, dict) and isinstance(example, dict):
         for name, valid in example.items():
