--- a/damaskdyke/conf/checks/limits.py
+++ b/damaskdyke/conf/checks/limits.py
@@ -12,8 +12,11 @@
 from damaskdyke.conf.vm import FleetBounds, VmSettings
 from damaskdyke.core.clock import Clock
 from damaskdyke.dispatch.budgets import USABLE_SHARE
+from damaskdyke.gateway.forwarding import CALLER_MARGIN_MS, MIN_SEND_TIME_MS
 from damaskdyke.gateway.memory import MemoryBudget, compute_budget_bytes
 
+# No request is sent to an upstream with a time-out up to this.
+MAX_UNUSABLE_TIMEOUT_MS = CALLER_MARGIN_MS + MIN_SEND_TIME_MS
 # Seconds that a workspace at its quota waits at most for a full burst. Above, the rate
 # is probably given in another unit, such as requests per minute.
 MAX_BURST_SECONDS = 20
@@ -21,14 +24,15 @@
 
 @configuration_checks.register("time-outs")
 def check_timeouts(configuration: Configuration) -> Iterator[Finding]:
-    """Report routes whose requests time out at once or before their goal."""
+    """Report routes whose requests cannot be sent in time, or miss their goal."""
     for index, route in configuration.routes:
-        if not route.timeout_ms:
+        if route.timeout_ms <= MAX_UNUSABLE_TIMEOUT_MS:
             yield Finding(
-                "limits.zero-timeout",
+                "limits.timeout-too-short",
                 Severity.ERROR,
                 configuration.format_place(Field.ROUTE_TIMEOUT, index),
-                "expected a time-out above 0 ms, got 0 ms: every request is refused",
+                f"expected a time-out above {MAX_UNUSABLE_TIMEOUT_MS} ms, got "
+                f"{route.timeout_ms} ms: no request is sent to an upstream",
                 "Give the time in which a request must be answered.",
             )
         elif route.timeout_ms < route.goal_ms:
--- a/tests/conf/test_config_checks.py
+++ b/tests/conf/test_config_checks.py
@@ -106,7 +106,10 @@
         name = "limits.timeout-below-goal"
         self.assertTrue(self.check_route(name, timeout="799ms"))
         self.assertFalse(self.check_route(name, timeout="800ms"))
-        self.assertTrue(self.check_route("limits.zero-timeout", timeout="0s"))
+        # A proxy keeps 12 ms for its answer and sends nothing in the last 40 ms.
+        name = "limits.timeout-too-short"
+        self.assertTrue(self.check_route(name, timeout="52ms"))
+        self.assertFalse(self.check_route(name, timeout="53ms"))
 
     def test_attempts_without_effect(self):
         name = "limits.order-attempts"
--- a/tests/management/test_check_config.py
+++ b/tests/management/test_check_config.py
@@ -74,7 +74,7 @@
     def test_exit_code_tells_the_heaviest_finding(self):
         # A pipeline deploys on 0, and on 2 where warnings are accepted.
         unused = make_document()["services"][1:]
-        late = [ROUTE | {"timeout": "1ms"}]
+        late = [ROUTE | {"timeout": "100ms"}]
         cases = (
             ({}, 0),
             ({"services": GOOD["services"] + unused}, 0),
