Report repeated fields and deep nesting in a configuration

The last of several values of a field counts, so a merge could lose a list of routes unnoticed. Whether a proxy can read a document of nearly 1,000 levels depends on the stack of its thread, so that the command refuses more than 100.

--- a/damaskdyke/platform/configuration.py
+++ b/damaskdyke/platform/configuration.py
@@ -42,6 +42,7 @@
     Problem,
     find_problems,
 )
+from damaskdyke.platform.repeated_names import find_repeated_names
 
 SECTIONS = {EntryKind.ROUTE: "routes", EntryKind.WORKSPACE: "tenants"}
 PATHS = MappingProxyType(
@@ -84,6 +85,9 @@
 KEYS_FIELD = "api_keys"
 # Part of a value that a message quotes.
 MAX_QUOTED_CHARS = 60
+# Levels of lists and objects; entries have five. How many a proxy can read depends on
+# the depth of its stack: at about 1,000 the decoder fails.
+MAX_LEVELS = 100
 # Similarity from which an unknown field counts as a misspelt known one.
 MISSPELT_SIMILARITY = 0.75
 
@@ -102,7 +106,7 @@
     """
     fields = parse_document(value)
     collected = CollectedProblems()
-    findings: list[Finding] = []
+    findings = list(find_structure_problems(value, fields))
     refused: list[Problem] = []
     try:
         rules = decode_rules(fields, collected)
@@ -321,6 +325,47 @@
     yield from find_misspelt_fields(fields)
 
 
+def find_structure_problems(value: bytes, document: Any) -> Iterator[Finding]:
+    """Yield findings for too many levels, or else for repeated names of fields."""
+    if is_deeper(document, MAX_LEVELS):
+        yield Finding(
+            "document.nesting",
+            Severity.ERROR,
+            PATHS[Field.DOCUMENT],
+            f"expected at most {MAX_LEVELS} levels of lists and objects, got more: a "
+            "proxy may refuse the document",
+            "Remove the nested value, which no proxy uses.",
+        )
+        return
+    for path, name in find_repeated_names(value):
+        yield Finding(
+            "document.repeated-name",
+            Severity.WARNING,
+            escape(format_path(path)) or PATHS[Field.DOCUMENT],
+            f"expected each field once, got {quote(name)} more than once: only the "
+            "last one counts",
+            "Remove or merge the others.",
+        )
+
+
+def is_deeper(document: Any, levels: int) -> bool:
+    """Return whether lists and objects are nested to more than some levels."""
+    level = [document]
+    for _ in range(levels):
+        holders = [item for item in level if type(item) in (dict, list)]
+        if not holders:
+            return False
+        level = []
+        for holder in holders:
+            level += holder.values() if type(holder) is dict else holder
+    return any(type(item) in (dict, list) for item in level)
+
+
+def escape(path: str) -> str:
+    """Return a path without line ends and other characters that a terminal obeys."""
+    return quote(path)[1:-1]
+
+
 def find_misspelt_fields(fields: dict) -> Iterator[Finding]:
     """Yield a warning for each unknown field with a name like that of a known one.
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -311,6 +311,18 @@
         self.assertEqual(set(PATHS), set(Field))
 
 
+class NestingTest(unittest.TestCase):
+    def test_deep_value_in_a_field_that_no_proxy_uses(self):
+        # Whether a proxy could read it depended on the stack of the thread.
+        for levels, is_found in ((98, False), (99, False), (100, True), (950, True)):
+            text = json.dumps(make_document(unused=0))
+            nested = "[" * levels + "]" * levels
+            text = text.replace('"unused": 0', f'"unused": {nested}')
+            findings = read_configuration(text.encode()).findings
+            ids = [item.id for item in findings]
+            self.assertEqual("document.nesting" in ids, is_found, levels)
+
+
 class UnusedValueTest(unittest.TestCase):
     """Values that the decoder accepts and does not use as written went unnoticed."""
 
@@ -331,6 +343,20 @@
             ],
         )
 
+    def test_field_that_an_object_repeats(self):
+        # A merge left two lists of routes; the first one was lost.
+        text = json.dumps(make_document())
+        text = text.replace('"routes": [', '"routes": [], "routes": [')
+        text = text.replace('"burst": 10', '"burst": 9, "burst": 10', 1)
+        findings = read_configuration(text.encode()).findings
+        self.assertEqual(
+            [(item.id, item.place) for item in findings],
+            [
+                ("document.repeated-name", "document"),
+                ("document.repeated-name", "tenants[0]"),
+            ],
+        )
+
     def test_unknown_field_of_a_later_version_is_ignored(self):
         document = make_document(wholly_new=1)
         document["routes"][0]["colour"] = "red"
