Pass over keys and names that the directory knows to be unique

Seen: tests of the reader, the checks and the command, 58 passed, 0 failed. The time of a comparison did not change beyond its scatter (three alternating runs, 4.0 to 6.5 s before, 5.1 to 5.7 s after, on a busy machine).

--- a/damaskdyke/conf/checks/differences.py
+++ b/damaskdyke/conf/checks/differences.py
@@ -6,7 +6,7 @@
 are equal in both versions are passed over without a look at their keys.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 from damaskdyke.catalogue.types import Route
 from damaskdyke.conf.checks.comparisons import (
@@ -296,10 +296,16 @@
     return None if workspace is None else workspace.name
 
 
-def list_in_force(configuration: Configuration) -> list[Placed[Workspace]]:
+def list_in_force(configuration: Configuration) -> Sequence[Placed[Workspace]]:
     """Return the workspaces without those that repeat the name of an earlier one."""
-    find = configuration.rules.directory.find
-    return [item for item in configuration.workspaces if find(item[1].name) is item[1]]
+    directory = configuration.rules.directory
+    if not directory.repeated_names:
+        return configuration.workspaces
+    return [
+        placed
+        for placed in configuration.workspaces
+        if directory.find(placed.item.name) is placed.item
+    ]
 
 
 def index_workspaces(configuration: Configuration) -> dict[WorkspaceName, int]:
--- a/damaskdyke/conf/checks/keys.py
+++ b/damaskdyke/conf/checks/keys.py
@@ -20,6 +20,9 @@
 @configuration_checks.register("shared-keys")
 def check_shared_keys(configuration: Configuration) -> Iterator[Finding]:
     """Report keys that several workspaces list, so that they belong to none."""
+    directory = configuration.rules.directory
+    if directory is None or not directory.shared_key_count:
+        return
     first_holders: dict[ApiKey, tuple[Placed[Workspace], int]] = {}
     other_holders: dict[ApiKey, list[tuple[Placed[Workspace], int]]] = {}
     for placed in configuration.workspaces:
@@ -50,6 +53,9 @@
 @configuration_checks.register("repeated-workspaces")
 def check_repeated_workspaces(configuration: Configuration) -> Iterator[Finding]:
     """Report workspaces that are left out because an earlier one has their name."""
+    directory = configuration.rules.directory
+    if directory is None or not directory.repeated_names:
+        return
     first_by_name: dict[WorkspaceName, Placed[Workspace]] = {}
     for placed in configuration.workspaces:
         first = first_by_name.setdefault(placed.item.name, placed)
