--- a/damaskdyke/management/commands/check_config.py
+++ b/damaskdyke/management/commands/check_config.py
@@ -92,7 +92,7 @@
 def pause_garbage_collection() -> Iterator[None]:
     """Keep the collector from scanning the entries, of which none becomes garbage.
 
-    At 170,000 workspaces its scans took a third of the time.
+    At 170,000 workspaces its scans took up to a third of the processor time.
     """
     was_enabled = gc.isenabled()
     gc.disable()
--- a/tests/conf/test_config_checks.py
+++ b/tests/conf/test_config_checks.py
@@ -53,6 +53,8 @@
 
 
 class MatchingTest(ChecksCase):
+    """An entry that no request reaches was deployed, or a good one was reported."""
+
     def test_second_route_with_a_prefix_never_matches(self):
         # Host names are compared without case, so the two looked different.
         document = make_document(routes=[ROUTE, ROUTE | {"host": "H.Example"}])
@@ -95,6 +97,8 @@
 
 
 class LimitsTest(ChecksCase):
+    """A limit was deployed that has no effect, or refuses requests by mistake."""
+
     def check_route(self, name, **fields):
         document = make_document(routes=[ROUTE | fields])
         return name in dict(self.list_findings(document, vm_settings=self.settings))
@@ -166,6 +170,8 @@
 
 
 class KeysTest(ChecksCase):
+    """Callers were answered 401 since a key or a name occurs twice."""
+
     def test_key_of_two_workspaces_is_one_finding_that_names_both(self):
         document = make_document()
         document["tenants"][1]["api_keys"] = ["k3", "k2"]
--- a/tests/management/test_check_config.py
+++ b/tests/management/test_check_config.py
@@ -30,6 +30,8 @@
 
 
 class CheckConfigTest(unittest.TestCase):
+    """A pipeline or an operator could not rely on the exit code or the report."""
+
     def setUp(self):
         self.directory = Path(self.enterContext(tempfile.TemporaryDirectory()))
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -210,6 +210,8 @@
 
 
 class PlaceTest(unittest.TestCase):
+    """A fault was reported late, at another place, or not in a way to find it."""
+
     def test_every_invalid_field_of_an_entry_is_reported(self):
         # The decoder stops at the first one, so operators corrected them one by one.
         route = ROUTE | {"prefix": "p", "goal": 5, "attempts": "2"}
@@ -312,8 +314,9 @@
 
 
 class NestingTest(unittest.TestCase):
+    """A document passed the check that the deeper stack of a proxy could not read."""
+
     def test_deep_value_in_a_field_that_no_proxy_uses(self):
-        # Whether a proxy could read it depended on the stack of the thread.
         for levels, is_found in ((98, False), (99, False), (100, True), (950, True)):
             text = json.dumps(make_document(unused=0))
             nested = "[" * levels + "]" * levels
