--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -292,7 +292,7 @@
         with mock.patch.object(self.dispatcher, "enqueue", enqueue_and_report):
             answer = self.ask("/p/x")
         self.assertEqual((answer.status, answer.reason), (503, "quarantined"))
-        self.assertFalse(self.dispatcher._get_state("desk").queue)
+        self.assertFalse(self.dispatcher._scheduler.get_service("desk").queue)
 
     def test_report_while_a_connection_is_opened_stops_the_request(self):
         acquire = self.pool.acquire
