--- a/tests/management/test_check_config.py
+++ b/tests/management/test_check_config.py
@@ -142,6 +142,7 @@
             inner=1,
             inner_last=2,
             seeds="",
+            extra_bounds="",
             caller=3,
             ready=4,
             control=5,
