Let uploads below 1 MB take reserved slots

On upstreams of two slots an upload got one slot only, although a small one is written within milliseconds. Bodies from 16 KB on are counted and limited as before.

--- a/damaskdyke/dispatch/upload_load.py
+++ b/damaskdyke/dispatch/upload_load.py
@@ -19,6 +19,9 @@
 MEGABYTE = 1024 * KILOBYTE
 # Smaller bodies are not counted.
 MIN_COUNTED_BYTES = 16 * KILOBYTE
+# Requests with bodies from this size on take no reserved slots. Smaller bodies are
+# written within milliseconds, and an upstream of two slots would run only one of them.
+MIN_UNRESERVED_BYTES = MEGABYTE
 # Limit of a service while nothing is known: the largest body that a proxy accepts.
 INITIAL_LIMIT_BYTES = 64 * MEGABYTE
 # Least limit. An upstream also gets any body while it has none in flight.
