--- a/tests/platform/test_quotas.py
+++ b/tests/platform/test_quotas.py
@@ -11,7 +11,8 @@
 from damaskdyke.platform import names
 from damaskdyke.testbed.deployment import deploy, make_config
 from damaskdyke.testbed.processes import wait_for
-from tests.workspaces.fleets import compute_bound, find_busiest_window, make_workspace
+from damaskdyke.testbed.quotas import compute_bound, find_busiest_window
+from tests.workspaces.fleets import make_workspace
 
 RATE, BURST = 20, 10
 WORKSPACES = [
--- a/tests/workspaces/test_quotas.py
+++ b/tests/workspaces/test_quotas.py
@@ -9,6 +9,7 @@
 from collections import Counter
 
 from damaskdyke.conf.vm import DEFAULT_BOUNDS
+from damaskdyke.testbed.quotas import compute_bound, find_busiest_window
 from damaskdyke.workspaces.directory import Directory
 from damaskdyke.workspaces.quotas import (
     MAX_RESERVE_SHARE,
@@ -24,8 +25,6 @@
     SIZE_KNOWN_MS,
     ZONES,
     QuotaFleet,
-    compute_bound,
-    find_busiest_window,
     make_workspace,
 )
 
