--- a/damaskdyke/gateway/pool.py
+++ b/damaskdyke/gateway/pool.py
@@ -1,5 +1,6 @@
 """Pool of the connections to upstreams, with a limit on the open ones of each."""
 
+import logging
 import threading
 
 from damaskdyke.catalogue.types import Instance
@@ -8,8 +9,11 @@
 from damaskdyke.gateway.connections import UpstreamConnection
 from damaskdyke.gateway.memory import MemoryBudget, make_default_budget
 from damaskdyke.upstreams.messages import Failure, UpstreamError
+from damaskdyke.utils.logs import log_event
 from damaskdyke.utils.polling import is_readable
 
+logger = logging.getLogger("damaskdyke.gateway")
+
 # A healthy upstream accepts within 4 ms; a lost packet would be resent only after 1 s.
 CONNECT_TIMEOUT_MS = 250
 # A refusal arrives as fast as an acceptance; the caller's request waits for it.
@@ -109,6 +113,13 @@
         try:
             connection = self._open(instance, REFUSAL_TIMEOUT_MS)
         except UpstreamError as error:
+            log_event(
+                logger,
+                "crash-check-failed",
+                logging.DEBUG,
+                upstream=instance.id,
+                error=str(error),
+            )
             return isinstance(error.__cause__, ConnectionRefusedError)
         self.release(connection)
         return False
--- a/damaskdyke/workspaces/scheduling.py
+++ b/damaskdyke/workspaces/scheduling.py
@@ -15,6 +15,7 @@
 from damaskdyke.conf.vm import FleetBounds
 from damaskdyke.core.clock import Millis
 from damaskdyke.core.ids import ServiceName, WorkspaceName, ZoneName
+from damaskdyke.dispatch.selection import SelectionCriteria
 from damaskdyke.dispatch.waiting import Group, WaitQueue
 from damaskdyke.workspaces.directory import Directory
 from damaskdyke.workspaces.fairness import (
@@ -42,19 +43,25 @@
         Workspace of the request.
     is_urgent : bool
         Whether it may take the reserved slots unless its workspace may not.
+    is_large : bool
+        Whether its body is limited by the bytes in flight at each upstream.
     """
 
-    __slots__ = ("event", "is_urgent", "rank", "workspace")
+    __slots__ = ("criteria", "event", "is_large", "is_urgent", "rank", "workspace")
 
     def __init__(
         self,
         rank: Rank,
         workspace: WorkspaceName | None = None,
         is_urgent: bool = False,
+        is_large: bool = False,
     ):
         self.rank = rank
         self.workspace = workspace
         self.is_urgent = is_urgent
+        self.is_large = is_large
+        # Criteria of its last attempt to get a slot.
+        self.criteria: SelectionCriteria | None = None
         self.event = threading.Event()
 
 
@@ -107,6 +114,9 @@
         Returns the workspaces of the catalogue in force, ``None`` without any.
     count_slots : callable
         Counts the slots of a service in the zone at a time.
+    has_capacity : callable
+        Returns whether any upstream has capacity for a queued request that has tried to
+        get a slot before.
     """
 
     def __init__(
@@ -117,10 +127,12 @@
         random_source: random.Random,
         get_directory: Callable[[], Directory | None],
         count_slots: Callable[[ServiceName, Millis], SlotCount],
+        has_capacity: Callable[[ServiceName, Waiter, Millis], bool],
     ):
         self._random = random_source
         self._get_directory = get_directory
         self._count_slots = count_slots
+        self._has_capacity = has_capacity
         self._services: dict[ServiceName, ServiceSchedule] = {}
         self.quotas = QuotaTable(bounds, zone, started_at, random_source)
 
@@ -243,24 +255,76 @@
         return [name for name, item in self._services.items() if item.queue]
 
     def list_next(self, service: ServiceName, now: Millis) -> list[Waiter]:
-        """Return the queued requests whose turn it is, at most two.
+        """Return the queued requests whose turn it is, at most three.
 
-        The second one may take reserved slots, which the first one may not.
+        Besides the first one, these are one that may take reserved slots if the first
+        one may not, and a small request behind a large one, see `find_large_ahead`.
         """
-        queue = self.get_service(service).queue
-        first = queue.peek()
+        first = self.get_service(service).queue.peek()
         if first is None:
             return []
+        small = self.find_small_behind(service, first)
+        unrestricted = self._find_unrestricted_behind(service, first, now)
+        others = [item for item in (small, unrestricted) if item is not None]
+        return [first, *dict.fromkeys(others)]
+
+    def _find_unrestricted_behind(
+        self, service: ServiceName, first: Waiter, now: Millis
+    ) -> Waiter | None:
+        """Return a queued request that may take reserved slots, unlike the first one.
+
+        There is none if the first one may take them too, or never does.
+        """
         if first.workspace is None or not first.is_urgent:
-            return [first]
+            return None
         if not self.is_restricted(service, first.rank, first.workspace, now):
-            return [first]
-        second = queue.find_first(
+            return None
+        found = self.get_service(service).queue.find_first(
             lambda group: self.is_restricted(service, *group, now)
         )
-        if second is None or not second.is_urgent:
-            return [first]
-        return [first, second]
+        return None if found is None or not found.is_urgent else found
+
+    def find_small_behind(self, service: ServiceName, waiter: Waiter) -> Waiter | None:
+        """Return the first small request if a large one is the first of the queue.
+
+        It is ``None`` for a waiter that is not that large one.
+        """
+        queue = self.get_service(service).queue
+        if not waiter.is_large or waiter is not queue.peek():
+            return None
+        return queue.find_item(lambda item: not item.is_large)
+
+    def find_large_ahead(
+        self, service: ServiceName, waiter: Waiter, now: Millis
+    ) -> Waiter | None:
+        """Return the large request that is sent before a small one, if there is one.
+
+        A large one has no use for a slot of an upstream that holds too many bytes, or
+        for one that it may not take, so that small ones pass it meanwhile.
+        """
+        first = self.get_service(service).queue.peek()
+        if waiter.is_large or not first.is_large:
+            return None
+        return None if self._is_blocked(service, first, now) else first
+
+    def _are_all_blocked(self, service: ServiceName, now: Millis) -> bool:
+        """Return whether all queued requests are large and no upstream may take them.
+
+        Those behind the first are taken to be like it.
+        """
+        first = self.get_service(service).queue.peek()
+        if not first.is_large or self.find_small_behind(service, first) is not None:
+            return False
+        return self._is_blocked(service, first, now)
+
+    def _is_blocked(self, service: ServiceName, waiter: Waiter, now: Millis) -> bool:
+        """Return whether no upstream has capacity for a queued request.
+
+        One that has not tried to get a slot yet is about to do so.
+        """
+        if waiter.criteria is None:
+            return False
+        return not self._has_capacity(service, waiter, now)
 
     def has_queued_ahead(
         self,
@@ -269,16 +333,20 @@
         workspace: WorkspaceName | None,
         is_urgent: bool,
         now: Millis,
+        is_large: bool = False,
     ) -> bool:
         """Return whether queued requests come before a new one.
 
-        The parameters are those of `Waiter`.
+        The parameters are those of `Waiter`. A small request does not wait for large
+        ones that no upstream may take.
         """
         queue = self.get_service(service).queue
         if not queue:
             return False
         is_passed = self._find_passed(service, rank, workspace, is_urgent, now)
-        return queue.count_ahead(rank, workspace, is_passed=is_passed) > 0
+        if not queue.count_ahead(rank, workspace, is_passed=is_passed):
+            return False
+        return is_large or not self._are_all_blocked(service, now)
 
     def count_ahead(
         self,
