--- a/damaskdyke/dispatch/quarantine.py
+++ b/damaskdyke/dispatch/quarantine.py
@@ -127,6 +127,9 @@
         entry = self._entries.get(fingerprint)
         if entry is None:
             entry = self._add(fingerprint)
+        # A report that came late keeps an entry for longer than its crash counts.
+        for old in [key for key, at in entry.ends.items() if now - at >= QUARANTINE_MS]:
+            del entry.ends[old]
         key = (upstream, incarnation)
         if key in entry.ends:
             entry.ends[key] = min(entry.ends[key], ended_at)
@@ -158,7 +161,10 @@
         good_at = now if good_at is None else good_at
         if entry.good_at is None or good_at > entry.good_at:
             entry.good_at = good_at
-        self._update(fingerprint, entry, now)
+        if before is not QuarantineState.CLEAR or not entry.ends:
+            # A request that stays clear is forgotten in time, so that no fingerprints
+            # are computed for good after a crash.
+            self._update(fingerprint, entry, now)
         is_clear = self.get_state(fingerprint, now) is QuarantineState.CLEAR
         return before is not QuarantineState.CLEAR and is_clear
 
--- a/damaskdyke/fleet/quarantine.py
+++ b/damaskdyke/fleet/quarantine.py
@@ -41,6 +41,9 @@
 MAX_REPEATED = 1_000
 # Latest requests that a proxy is told of when it asks for members.
 MAX_TOLD_REQUESTS = 64
+# Time after which the same proxy is told again, and proxies that are told within it.
+TOLD_AGAIN_MS = 2_000
+MAX_TOLD_PROXIES = 1_000
 # Value of the log field ``source`` for a crash that this proxy saw itself.
 OWN_SOURCE = "own"
 
@@ -113,6 +116,8 @@
         self._repeats: list[tuple[int, int, RequestEvent, int]] = []
         self._numbers = itertools.count()
         self._is_repeating = False
+        # Time at which each proxy that asked for members was told lately.
+        self._told_at: dict[str, Millis] = {}
         self._stopping = threading.Event()
         if channel is not None:
             channel.handlers.append(self.receive)
@@ -177,6 +182,21 @@
         )
         self._publish(RequestEvent(fingerprint, None, None, now))
 
+    def _may_tell(self, ip: str) -> bool:
+        """Return whether a proxy that asks for members is told now.
+
+        The answer is many times as long as the question, whose sender may be forged.
+        """
+        now = self._clock.now()
+        with self._lock:
+            for told, at in list(self._told_at.items()):
+                if now - at >= TOLD_AGAIN_MS:
+                    del self._told_at[told]
+            if ip in self._told_at or len(self._told_at) >= MAX_TOLD_PROXIES:
+                return False
+            self._told_at[ip] = now
+        return True
+
     def _tell(self, ip: str) -> None:
         """Tell a proxy that asks for members of the recorded crashes.
 
@@ -205,7 +225,7 @@
 
         They are relayed first, as others may be about to send the request.
         """
-        if datagram.wants_members and self.is_active:
+        if datagram.wants_members and self.is_active and self._may_tell(sender):
             self._tell(sender)
         if not datagram.requests:
             return
@@ -260,18 +280,21 @@
             return
         self._send([event])
         with self._lock:
-            if len(self._repeats) >= MAX_REPEATED:
-                log_event(
-                    logger,
-                    "repeat-left-out",
-                    logging.WARNING,
-                    fingerprint=event.fingerprint.hex(),
-                )
-                return
-            self._schedule(event, 0)
-            if self._is_repeating:
-                return
-            self._is_repeating = True
+            is_left_out = len(self._repeats) >= MAX_REPEATED
+            if not is_left_out:
+                self._schedule(event, 0)
+            has_thread = self._is_repeating
+            self._is_repeating = has_thread or not is_left_out
+        if is_left_out:
+            log_event(
+                logger,
+                "repeat-left-out",
+                logging.WARNING,
+                fingerprint=event.fingerprint.hex(),
+            )
+            return
+        if has_thread:
+            return
         try:
             spawn_restarting("quarantine-repeats", self._repeat)
         except RuntimeError as error:
--- a/damaskdyke/gateway/pool.py
+++ b/damaskdyke/gateway/pool.py
@@ -9,7 +9,6 @@
 from damaskdyke.gateway.connections import UpstreamConnection
 from damaskdyke.gateway.memory import MemoryBudget, make_default_budget
 from damaskdyke.upstreams.messages import Failure, UpstreamError
-from damaskdyke.utils.logs import log_event
 from damaskdyke.utils.polling import is_readable
 
 logger = logging.getLogger("damaskdyke.gateway")
@@ -87,7 +86,7 @@
         """
         idle_connection = self._acquire_idle(instance, must_be_proven)
         if idle_connection is not None:
-            idle_connection.is_reused = True
+            idle_connection.is_reused = idle_connection.has_carried_request
             return idle_connection
         self._close_idle_at_limit()
         with self._lock:
@@ -102,26 +101,25 @@
             self._open_counts[instance.id] = self._open_counts.get(instance.id, 0) + 1
         return self._open(instance, max(1, min(CONNECT_TIMEOUT_MS, timeout_ms)))
 
-    def is_refused(self, instance: Instance) -> bool:
+    def is_refused(self, instance: Instance, remaining_ms: int) -> bool:
         """Return whether a new connection is refused, as nothing listens there.
 
-        One that the upstream accepts is kept for later requests. The limits do not hold
-        for it: it replaces a connection that was just lost.
+        One that the upstream accepts is kept for later requests, unless the limit on
+        open connections is reached.
         """
         with self._lock:
             self._open_counts[instance.id] = self._open_counts.get(instance.id, 0) + 1
         try:
-            connection = self._open(instance, REFUSAL_TIMEOUT_MS)
+            timeout_ms = max(1, min(REFUSAL_TIMEOUT_MS, remaining_ms))
+            connection = self._open(instance, timeout_ms)
         except UpstreamError as error:
-            log_event(
-                logger,
-                "crash-check-failed",
-                logging.DEBUG,
-                upstream=instance.id,
-                error=str(error),
-            )
             return isinstance(error.__cause__, ConnectionRefusedError)
-        self.release(connection)
+        with self._lock:
+            is_full = self._is_full()
+        if is_full:
+            self.discard(connection)
+        else:
+            self.release(connection)
         return False
 
     def _open(self, instance: Instance, timeout_ms: int) -> UpstreamConnection:
--- a/damaskdyke/gateway/reports.py
+++ b/damaskdyke/gateway/reports.py
@@ -129,7 +129,11 @@
 
 def render_page(reporter: GatewayReporter, uri: str) -> bytes | None:
     """Return the page at a URI as JSON, ``None`` if there is none."""
-    parts = urlsplit(uri)
+    try:
+        parts = urlsplit(uri)
+    except ValueError:
+        # No URI, for instance one with half of an IPv6 address.
+        return None
     if parts.path not in pages.names():
         return None
     report = pages.get(parts.path)(reporter, parse_qs(parts.query))
--- a/damaskdyke/workspaces/quotas.py
+++ b/damaskdyke/workspaces/quotas.py
@@ -170,6 +170,8 @@
         Since when the zone announces the workspace, ``None`` while it does not.
     early_sends : int
         Sends of the zone that were counted before the fleet was known.
+    uncharged : float
+        Tokens of sends below the lowest level since the level was last positive.
     """
 
     rate: float
@@ -183,6 +185,7 @@
     refunded_at: Millis = Millis(0)
     announced_since: Millis | None = None
     early_sends: int = 0
+    uncharged: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -310,7 +313,11 @@
         if bucket is None:
             return
         self._refill(bucket, now)
-        bucket.level = min(bucket.level + 1, self._compute_capacity(bucket))
+        # What the limit of the debt left uncharged is not given back.
+        uncharged = min(1.0, bucket.uncharged)
+        bucket.uncharged -= uncharged
+        level = bucket.level + 1 - uncharged
+        bucket.level = min(level, self._compute_capacity(bucket))
         bucket.sends = max(0.0, self._decay_sends(bucket, now) - 1)
         bucket.counted_at = now
         bucket.refunds = self._decay_refunds(bucket, now) + 1
@@ -443,7 +450,11 @@
         # A debt of more than a window cannot come from late reports. It comes from a
         # smaller view of the zone than the peers have, who repay what they run.
         floor = -bucket.share * self._bounds.quota_window_ms / MILLIS_PER_SECOND
-        bucket.level = max(bucket.level - 1, min(floor, -1))
+        if bucket.level >= 0:
+            bucket.uncharged = 0.0
+        level = max(bucket.level - 1, min(floor, -1))
+        bucket.uncharged += level - (bucket.level - 1)
+        bucket.level = level
         if not self._fleet.is_size_known:
             bucket.early_sends += 1
         bucket.sends = self._decay_sends(bucket, now) + 1
--- a/tests/dispatch/test_quarantine.py
+++ b/tests/dispatch/test_quarantine.py
@@ -64,6 +64,20 @@
         self.assertEqual(self.table.get_remaining_ms(b"f", 50_000), 10_000)
         self.assertFalse(self.record_end("u2", 0, now=QUARANTINE_MS))
 
+    def test_crash_that_was_reported_late_does_not_count_for_longer(self):
+        """A harmless request was refused for a crash 105 s before the second one."""
+        self.record_end("u1", 0, now=50_000)
+        self.record_end("u2", 105_000)
+        self.assert_state(SUSPECT, 105_000)
+
+    def test_popular_request_is_forgotten_after_its_crash(self):
+        """Each good response kept the entry, and with it the work for a fingerprint."""
+        self.record_end("u1", 0)
+        for now in range(1_000, QUARANTINE_MS + 2_000, 1_000):
+            self.table.record_good(b"f", now)
+        self.assert_state(CLEAR, now)
+        self.assertTrue(self.table.is_empty)
+
     def test_good_response_clears_and_older_reports_do_not_reinstate(self):
         """Crashes for other reasons must not take a popular request out of service."""
         self.record_end("u1", 0)
--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -201,6 +201,18 @@
         upstreams = [item.upstream for item in self.channel.sent]
         self.assertEqual(upstreams, ["u1", None, None])
 
+    def test_proxy_that_asks_again_at_once_is_not_told_again(self):
+        """The answer to a forged question would go to somebody else, many times."""
+        self.receive("a", upstream="u1", born=1)
+        question = News(ip="10.0.0.1", zone="a", wants_members=True)
+        with mock.patch.object(self.channel, "send", create=True) as send:
+            for _ in range(3):
+                self.exchange.receive(question, question.ip)
+            send.assert_called_once()
+            self.clock.advance(quarantine.TOLD_AGAIN_MS)
+            self.exchange.receive(question, question.ip)
+            self.assertEqual(send.call_count, 2)
+
     def test_received_age_counts(self):
         self.receive("a", upstream="u1", born=1, age_ms=20_000)
         self.assertEqual(self.get_remaining_ms(), 40_000)
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -174,6 +174,17 @@
         self.ask("/p/x")
         self.assertEqual(self.upstream.connections, 2)
 
+    def test_every_reset_of_an_upstream_that_listens_is_a_fault(self):
+        """The attempted connection counted as used, and its reset as an idle end."""
+        self.view = build_catalogue(
+            1, make_rules(make_route()), {"u1": self.upstream.describe()}
+        )
+        self.upstream.behaviour = Behaviour.RESET
+        for _ in range(4):
+            self.ask("/p/x", is_idempotent=False)
+        outcomes = [report.outcome for report in self.gossip.reports]
+        self.assertEqual(outcomes.count(Outcome.FAILED), 4)
+
     def test_end_within_a_reply_is_no_evidence(self):
         self.upstream.behaviour = Behaviour.CUT
         self.upstream.sent_bytes = 4
--- a/tests/gateway/test_reports.py
+++ b/tests/gateway/test_reports.py
@@ -6,6 +6,7 @@
 import contextlib
 import io
 import json
+import unittest
 
 from damaskdyke.core.ids import Address
 from damaskdyke.core.management.base import ExitCode
@@ -15,7 +16,7 @@
 from damaskdyke.gateway.application import Application
 from damaskdyke.gateway.instruments import Instruments
 from damaskdyke.gateway.metrics import PrometheusExporter, make_metrics_gateway
-from damaskdyke.gateway.reports import GatewayReporter
+from damaskdyke.gateway.reports import GatewayReporter, render_page
 from damaskdyke.gateway.server import ThreadedServer
 from damaskdyke.platform.headers import HEADERS
 from damaskdyke.workspaces.freshness import FreshnessTracker
@@ -165,6 +166,12 @@
         self.assertIn("ready", run_command("status", address)[1])
 
 
+class PageTest(unittest.TestCase):
+    def test_malformed_uri_is_no_page(self):
+        """The error of the parser would end the request without an answer."""
+        self.assertIsNone(render_page(None, "//[x"))
+
+
 class RefusalLogTest(GatewayCase):
     def test_memory_is_bounded_in_number_and_in_length(self):
         # Callers choose the ids, and a hot workspace has any number refused.
--- a/tests/workspaces/test_quotas.py
+++ b/tests/workspaces/test_quotas.py
@@ -204,6 +204,19 @@
             self.check_use(fleet, workspace, 0.65)
             self.check_bound(fleet, workspace)
 
+    def test_refunds_do_not_exceed_what_was_charged(self):
+        # Sends below the lowest level cost nothing, and refunds gave a token for each.
+        workspace = make_workspace(rate=0.6, burst=20)
+        table = QuotaTable(DEFAULT_BOUNDS, "a", 0, random.Random(1))
+        table.set_limits(Directory([workspace]), 0)
+        table.set_fleet(FleetView(frozenset(ZONES)), 0)
+        before = table.admit(workspace, 1_000).level
+        for _ in range(8):
+            table.record_peer_send("w", 1_000)
+        for _ in range(8):
+            table.refund_peer_send("w", 1_000)
+        self.assertAlmostEqual(table.admit(workspace, 1_000).level, before)
+
     def test_old_sends_are_not_refunded(self):
         workspace = make_workspace(rate=90, burst=0)
         table = QuotaTable(DEFAULT_BOUNDS, "a", 0, random.Random(1))
