--- a/damaskdyke/gateway/pool.py
+++ b/damaskdyke/gateway/pool.py
@@ -9,6 +9,7 @@
 from damaskdyke.gateway.connections import UpstreamConnection
 from damaskdyke.gateway.memory import MemoryBudget, make_default_budget
 from damaskdyke.upstreams.messages import Failure, UpstreamError
+from damaskdyke.utils.logs import log_event
 from damaskdyke.utils.polling import is_readable
 
 logger = logging.getLogger("damaskdyke.gateway")
@@ -113,6 +114,13 @@
             timeout_ms = max(1, min(REFUSAL_TIMEOUT_MS, remaining_ms))
             connection = self._open(instance, timeout_ms)
         except UpstreamError as error:
+            log_event(
+                logger,
+                "crash-check-failed",
+                logging.DEBUG,
+                upstream=instance.id,
+                error=str(error),
+            )
             return isinstance(error.__cause__, ConnectionRefusedError)
         with self._lock:
             is_full = self._is_full()
