Mend what a review of heads, memory and check-config found

Waits that cannot end replies leave the scans to those that can. Request lines that others may read differently get 400, and so does NUL in a header. check-config finds similar names once, does not crash on names like paths and shows no keys in odd places.

The check of hosts took an empty host for one that no request has.

--- a/damaskdyke/__init__.py
+++ b/damaskdyke/__init__.py
@@ -8,6 +8,10 @@
     # load others first, for about 1 ms.
     import _signal
 
-    _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+    try:
+        _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+    except ValueError:
+        # Another program imports the package in a thread.
+        pass
 
 __version__ = "0.1.0"
--- a/damaskdyke/conf/checks/matching.py
+++ b/damaskdyke/conf/checks/matching.py
@@ -90,7 +90,12 @@
 
 
 def is_host(host: str) -> bool:
-    """Return whether a request can have a host, after its port has been cut."""
+    """Return whether a request can have a host, after its port has been cut.
+
+    One without the header has an empty host.
+    """
+    if not host:
+        return True
     if not HOST.fullmatch(host) or "/" in host:
         return False
     # An IPv6 address in brackets has colons of its own.
--- a/damaskdyke/gateway/callers.py
+++ b/damaskdyke/gateway/callers.py
@@ -20,7 +20,7 @@
     HeadChecker,
     HeadFault,
     HeadRefused,
-    has_bare_cr,
+    find_request_line_fault,
 )
 from damaskdyke.gateway.memory import MAX_WAIT_MS
 from damaskdyke.gateway.memory_holds import (
@@ -251,17 +251,20 @@
         self._expects_continue = expectation.lower() == b"100-continue"
 
     def read_request_line(self) -> bool:
-        """Read the request line; refuse one with a CR before its end."""
+        """Read the request line; refuse one that others may read differently."""
         reader = RequestLineReader(self.rfile)
         self.rfile = reader
         try:
             is_valid = super().read_request_line()
         finally:
             self.rfile = reader.wrapped
-        if is_valid and has_bare_cr(reader.line):
-            self._refuse_head(HeadFault.BARE_CR)
+        if not is_valid:
             return False
-        return is_valid
+        fault = find_request_line_fault(reader.line)
+        if fault is not None:
+            self._refuse_head(fault)
+            return False
+        return True
 
     def read_request_headers(self) -> bool:
         """Read the header; refuse one that is ambiguous or finds no memory."""
--- a/damaskdyke/gateway/heads.py
+++ b/damaskdyke/gateway/heads.py
@@ -14,7 +14,9 @@
 TRANSFER_ENCODING = b"transfer-encoding"
 CHUNKED = b"chunked"
 # A name is a token (RFC 9110, 5.6.2): no space belongs to it, at either end.
-FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\r\n]*)\r\n")
+FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\r\n\x00]*)\r\n")
+# The library also accepts versions such as 1.0_1, which others may read as 1.0.
+REQUEST_LINE = re.compile(rb"[!-~]+ [!-~\x80-\xff]+ HTTP/1\.[01]\r\n")
 LENGTH = re.compile(rb"[0-9]+")
 # The library also strips the other characters that Python counts as white space.
 OPTIONAL_SPACE = b" \t"
@@ -24,6 +26,7 @@
     """Why a head is refused; the log shows the values."""
 
     BARE_CR = "bare-cr"
+    INVALID_REQUEST_LINE = "invalid-request-line"
     FOLDED_LINE = "folded-line"
     INVALID_LINE = "invalid-line"
     INVALID_LENGTH = "invalid-length"
@@ -119,6 +122,15 @@
     return HeadFault.INVALID_LINE
 
 
+def find_request_line_fault(line: bytes) -> HeadFault | None:
+    """Return what is wrong with the first line of a request, ``None`` if nothing is."""
+    if has_bare_cr(line):
+        return HeadFault.BARE_CR
+    if REQUEST_LINE.fullmatch(line) is None:
+        return HeadFault.INVALID_REQUEST_LINE
+    return None
+
+
 def has_bare_cr(line: bytes) -> bool:
     """Return whether a line has a CR that does not belong to its end."""
     return b"\r" in line.removesuffix(b"\r\n")
--- a/damaskdyke/gateway/memory_revocation.py
+++ b/damaskdyke/gateway/memory_revocation.py
@@ -18,8 +18,9 @@
     """Chooses the holds that give way to one that waits."""
 
     def __init__(self):
-        # By kind of the waiting hold, and whether it has waited for its part.
-        self._scanned_at: dict[tuple[MemoryKind, bool], Millis] = {}
+        # By kind of the waiting hold, whether it has waited for its part, and whether
+        # replies may give way to it. Others must not use up the scans of those.
+        self._scanned_at: dict[tuple[MemoryKind, bool, bool], Millis] = {}
 
     def choose(
         self,
@@ -57,10 +58,11 @@
         is_reply = hold.kind is MemoryKind.REPLY
         if not (has_waited or is_reply):
             return []
-        scanned_at = self._scanned_at.get((hold.kind, has_waited))
+        scan = (hold.kind, has_waited, relief > 0)
+        scanned_at = self._scanned_at.get(scan)
         if scanned_at is not None and now - scanned_at < SCAN_INTERVAL_MS:
             return []
-        self._scanned_at[hold.kind, has_waited] = now
+        self._scanned_at[scan] = now
         may_end_replies = (is_reply or relief > 0) and has_waited
         gone = {x for x in holds if x.is_revoked}
         stalled = [
--- a/damaskdyke/platform/configuration.py
+++ b/damaskdyke/platform/configuration.py
@@ -5,7 +5,7 @@
 import re
 import tomllib
 from collections.abc import Iterator
-from functools import partial
+from functools import lru_cache, partial
 from types import MappingProxyType
 from typing import Any
 
@@ -83,6 +83,7 @@
 ENTRY_PATH = re.compile(r"(\w+)\[(\d+)\]")
 # Field whose values are secrets, in which no message may quote a value.
 KEYS_FIELD = "api_keys"
+WORKSPACES_FIELD = "tenants"
 # Part of a value that a message quotes.
 MAX_QUOTED_CHARS = 60
 # Levels of lists and objects; entries have five. How many a proxy can read depends on
@@ -235,7 +236,7 @@
     path = problem.path
     expectation = find_expectation(path)
     hint = expectation.hint
-    got = describe_value(problem.value, KEYS_FIELD in path)
+    got = describe_value(problem.value, may_be_key(path))
     if problem.value is MISSING:
         name = "document.missing-field"
         hint = "Add the field."
@@ -258,6 +259,23 @@
     )
 
 
+def may_be_key(path: Path) -> bool:
+    """Return whether a value may be the key of a workspace, which is not shown.
+
+    That includes keys in the place of a workspace, or of all of them.
+    """
+    return KEYS_FIELD in path or (path[:1] == (WORKSPACES_FIELD,) and len(path) <= 2)
+
+
+def hide_keys(path: Path) -> Path:
+    """Return a path without names in it that may be keys."""
+    if KEYS_FIELD in path:
+        return path[: path.index(KEYS_FIELD) + 1]
+    if path[:1] == (WORKSPACES_FIELD,) and len(path) > 1 and type(path[1]) is str:
+        return path[:1]
+    return path
+
+
 def describe_effect(path: Path) -> str:
     """Return what a proxy does because of an invalid value."""
     if path[:1] == ("routes",) and len(path) > 1:
@@ -276,11 +294,21 @@
 
 def suggest_service(name: str, fields: Any) -> str | None:
     """Return the hint that names a service with a similar name, if there is one."""
-    known = [
+    known = tuple(
         item["name"] for item in fields["services"] if item["name"] != EXAMPLE_SERVICE
-    ]
+    )
+    similar = find_similar(name, known)
+    return f"Did you mean {similar!r}? Otherwise define it." if similar else None
+
+
+@lru_cache(maxsize=1_000)
+def find_similar(name: str, known: tuple[str, ...]) -> str | None:
+    """Return the known name that is most like another one, if any is.
+
+    Thousands of routes may name the same service that was dropped.
+    """
     similar = difflib.get_close_matches(name, known, n=1)
-    return f"Did you mean {similar[0]!r}? Otherwise define it." if similar else None
+    return similar[0] if similar else None
 
 
 def describe_value(value: Any, is_secret: bool = False) -> str:
@@ -341,12 +369,14 @@
         )
         return
     for path, name in parser.find_repeated(document):
+        shown = hide_keys(path)
+        is_hidden = shown != path or KEYS_FIELD in path or path == (WORKSPACES_FIELD,)
         yield Finding(
             "document.repeated-name",
             Severity.WARNING,
-            escape(format_path(path)) or PATHS[Field.DOCUMENT],
-            f"expected each field once, got {quote(name)} more than once: only the "
-            "last one counts",
+            escape(format_path(shown)) or PATHS[Field.DOCUMENT],
+            f"expected each field once, got {'one' if is_hidden else quote(name)} "
+            "more than once: only the last one counts",
             "Remove or merge the others.",
         )
 
@@ -411,9 +441,10 @@
 def find_name(fields: dict, place: str) -> str | None:
     """Return the name of the entry that a path leads into, if it is a string."""
     match = ENTRY_PATH.match(place)
-    items = fields[match[1]] if match else None
-    # The decoder also iterates over objects and strings in place of a list.
-    if not isinstance(items, list):
+    items = fields.get(match[1]) if match else None
+    # The decoder also iterates over objects and strings in place of a list. A field
+    # may have a name that looks like the path of an entry.
+    if not isinstance(items, list) or int(match[2]) >= len(items):
         return None
     item = items[int(match[2])]
     name = item.get("name") if isinstance(item, dict) else None
--- a/tests/gateway/test_heads.py
+++ b/tests/gateway/test_heads.py
@@ -101,6 +101,20 @@
                     item.runs.clear()
                 self.check_refused(line + head.split(b"\r\n", 1)[1])
 
+    def test_request_line_that_others_may_read_differently_is_refused(self):
+        """A version such as 1.0_1 counted as 1.1, with chunks."""
+        head = make_request("bad")
+        for line in (
+            b"GET /p/x HTTP/1.0_1\r\n",
+            b"GET /p/x HTTP/1. 1\r\n",
+            b" GET /p/x HTTP/1.1\r\n",
+            b"GET /p/x\x0b HTTP/1.1\r\n",
+        ):
+            with self.subTest(line):
+                for item in self.instances:
+                    item.runs.clear()
+                self.check_refused(line + head.split(b"\r\n", 1)[1])
+
     def test_answer_says_that_the_connection_closes(self):
         connection = self.connect()
         connection.sendall(make_request("bad", extra="X-A : b\r\n"))
--- a/tests/management/test_check_config.py
+++ b/tests/management/test_check_config.py
@@ -134,6 +134,30 @@
         }
         self.assertEqual(files, {old})
 
+    def test_keys_in_odd_places_are_not_shown(self):
+        """Names of fields and values were quoted where a key had been put instead."""
+        for tenants in (
+            '[{"name": "w", "api_keys": {"SECRET": true, "SECRET": true}}]',
+            '[{"name": "w", "api_keys": {"SECRET": {"a": 1, "a": 2}}}]',
+            '{"SECRET": {"name": "w", "name": "x"}}',
+            '["SECRET"]',
+        ):
+            text = json.dumps(make_document(**GOOD) | {"tenants": 0})
+            text = text.replace('"tenants": 0', f'"tenants": {tenants}')
+            path = self.write("keys.json", text)
+            _, out, err = run_command("check-config", path)
+            with self.subTest(tenants):
+                self.assertNotIn("SECRET", out + err)
+
+    def test_repeated_field_below_a_name_like_a_path(self):
+        """The name was read as the path of an entry, and the command crashed."""
+        for name in ("x[0]", "routes[7]"):
+            text = json.dumps(make_document(**GOOD) | {name: 0})
+            text = text.replace(f'"{name}": 0', f'"{name}": {{"a": 1, "a": 2}}')
+            path = self.write("odd.json", text)
+            code, out, _ = run_command("check-config", path)
+            self.assertEqual(code, 2, out)
+
     def test_settings_of_a_vm_are_checked_too(self):
         text = SETTINGS.format(
             number=1,
