--- a/tests/workspaces/fleets.py
+++ b/tests/workspaces/fleets.py
@@ -44,6 +44,8 @@
         self.refusal_share = 0.0
         # Whether zones hear from each other.
         self.is_cut = False
+        # Zones in which no load report arrives, as while a hub does not relay them.
+        self.silent_zones = set()
         self.messages = {}
         # Times of the requests that ran, by workspace.
         self.runs = {item.name: [] for item in workspaces}
@@ -158,7 +160,7 @@
 
     def list_receivers(self, zone, number):
         """Return the tables that a load report of a proxy reaches."""
-        if not self.is_in_contact:
+        if not self.is_in_contact or zone in self.silent_zones:
             return []
         return [
             table
--- a/tests/workspaces/test_quotas.py
+++ b/tests/workspaces/test_quotas.py
@@ -119,6 +119,28 @@
             self.check_bound(fleet, workspace)
 
 
+class SilenceTest(FleetCase):
+    """No load report arrives in a zone for some time, as its hub ended or froze."""
+
+    def check_silence(self, zones, duration_ms):
+        for fleet, workspace in self.each_fleet():
+            rate = workspace.rate_per_second
+            fleet.run(2_000, [("w", USUAL * rate, ())])
+            fleet.run(2_000, [("w", HOT * rate, ())])
+            fleet.silent_zones = zones
+            fleet.run(duration_ms, [("w", HOT * rate, ())])
+            fleet.silent_zones = set()
+            fleet.run(5_000, [("w", HOT * rate, ())])
+            self.check_bound(fleet, workspace)
+
+    def test_zone_whose_proxies_admit_everything_while_no_report_arrives(self):
+        # Proxies took the silence for a zone that sends nothing.
+        self.check_silence({0}, 1_500)
+
+    def test_zones_that_are_silent_at_the_same_time(self):
+        self.check_silence({0, 1, 2}, 2_500)
+
+
 class PartitionTest(FleetCase):
     def test_zones_that_lose_contact_while_all_are_hot(self):
         # Zones that hear nothing must not take the others for silent.
