Notice that the reports of a zone do not arrive

Cause: in a large zone the hub relays all reports. A hub that ended kept them for 1.5 s, and a small one that could not keep up for as long as its heartbeat arrived late. Nothing told the proxies that their counts stood still: each took the silence for a zone that sends nothing, its bucket filled up, and it admitted everything. A proxy that was cut off did so until its members timed out, up to 12 s.

The reports that follow take the place of what was assumed, as they have totals; the rest is given back. - A proxy without any sign of its zone for 0.4 s uses a quarter of its equal part. - A proxy whose counts stand still tells the other zones nothing, which would use the rest.

--- a/damaskdyke/fleet/zone_rates.py
+++ b/damaskdyke/fleet/zone_rates.py
@@ -113,6 +113,10 @@
             return
         if now - self._started_at < COUNTING_MS:
             return
+        if not self._gossip.has_current_counts:
+            # What this proxy has counted is too low, and the other zones would use the
+            # rest. Without announcements this zone counts as using its equal part.
+            return
         ips = [self._gossip.ip, *(member.ip for member in zone)]
         if self._gossip.ip not in rank_by_score("rates", ips)[:ANNOUNCERS_PER_ZONE]:
             return
--- a/damaskdyke/workspaces/quotas.py
+++ b/damaskdyke/workspaces/quotas.py
@@ -13,7 +13,7 @@
 import heapq
 import math
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from damaskdyke.conf.vm import FleetBounds
 from damaskdyke.core.clock import MILLIS_PER_SECOND, Millis
@@ -46,6 +46,10 @@
 # certain to be admitted with a part of one, each of many such proxies would admit one
 # request of a small quota.
 ALONE_RESERVE = 1.0
+# Part that an isolated proxy uses of its equal part of the zone's share. The others use
+# all of the share until they notice its absence, so that this part has to fit into the
+# tolerance.
+ISOLATED_SHARE = 0.25
 # Number of zones that is assumed at least while the fleet is not known yet.
 ASSUMED_ZONES = 3
 # Number of proxies in the zone that is assumed at least meanwhile. Proxies that start
@@ -80,6 +84,8 @@
 # Age of a send up to which its request is refunded. The token of an older one may have
 # come back with the refill.
 REFUND_MAX_AGE_MS = 250
+# Time after a silence of the zone in which its sends of that time are reported.
+SETTLING_MS = 500
 # Time constant of the number of recent refunds. It covers the time between a send and
 # its refund at the peers, so that the number is at least that of the sends that are yet
 # to be refunded while upstreams refuse.
@@ -111,6 +117,26 @@
     is_size_known: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneContactState:
+    """Whether the load reports of a proxy's zone arrive.
+
+    Parameters
+    ----------
+    silent_since : Millis or None
+        Since when they do not, ``None`` if they do.
+    is_isolated : bool
+        Whether the proxy seems to be cut off from its zone. The others need longer to
+        notice that, and use its part of the zone's share until then.
+    """
+
+    silent_since: Millis | None = None
+    is_isolated: bool = False
+
+
+IN_CONTACT = ZoneContactState()
+
+
 @dataclass(frozen=True, slots=True)
 class Admission:
     """Decision about one request, with its inputs.
@@ -144,6 +170,35 @@
 UNLIMITED = Admission(is_allowed=True)
 
 
+@dataclass(slots=True)
+class Assumption:
+    """Sends of the peers of one workspace that are assumed while no report arrives.
+
+    Parameters
+    ----------
+    since : Millis
+        Time of the last report before the silence.
+    per_second : float
+        Rate of the peers' sends before the silence.
+    per_own_send : float
+        Sends of the peers for each own one before the silence.
+    own_sends : int
+        Own sends during the silence.
+    assumed : float
+        Sends that are assumed for this silence.
+    charged : float
+        Tokens that were taken for assumed sends, less those reported since, also of
+        earlier silences.
+    """
+
+    since: Millis
+    per_second: float
+    per_own_send: float
+    own_sends: int = 0
+    assumed: float = 0.0
+    charged: float = 0.0
+
+
 @dataclass(slots=True)
 class Bucket:
     """State of one active workspace.
@@ -172,6 +227,11 @@
         Sends of the zone that were counted before the fleet was known.
     uncharged : float
         Tokens of sends below the lowest level since the level was last positive.
+    peer_sends : float
+        Sends of the peers, decayed like those of the zone.
+    assumption : Assumption or None
+        Sends that are assumed of the peers during a silence, and until those reported
+        after it have taken their place.
     """
 
     rate: float
@@ -186,6 +246,8 @@
     announced_since: Millis | None = None
     early_sends: int = 0
     uncharged: float = 0.0
+    peer_sends: float = 0.0
+    assumption: Assumption | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -245,6 +307,9 @@
         # Rates and times of announcements, by workspace and zone.
         self._zone_rates: dict[WorkspaceName, dict[ZoneName, tuple[float, Millis]]] = {}
         self._zones_heard_at: dict[ZoneName, Millis] = {}
+        self._contact = IN_CONTACT
+        # End of the last silence.
+        self._regained_at = Millis(0)
         # Whether any workspace has a quota.
         self.has_limits = False
 
@@ -295,8 +360,7 @@
         self, name: WorkspaceName, now: Millis, count: int = 1
     ) -> None:
         """Count first sends of requests that a peer of this zone reported."""
-        for _ in range(count):
-            self._record_send(name, now)
+        self._record_send(name, now, count, is_own=False)
 
     def refund_own_send(
         self, name: WorkspaceName, sent_at: Millis, now: Millis
@@ -322,12 +386,34 @@
         level = bucket.level + 1 - uncharged
         bucket.level = min(level, self._compute_capacity(bucket))
         bucket.sends = max(0.0, self._decay_sends(bucket, now) - 1)
+        bucket.peer_sends = min(
+            bucket.sends, self._decay(bucket, bucket.peer_sends, now)
+        )
         bucket.counted_at = now
         bucket.refunds = self._decay_refunds(bucket, now) + 1
         bucket.refunded_at = now
 
     # Inputs.
 
+    def set_contact(self, contact: ZoneContactState, now: Millis) -> None:
+        """Set whether load reports of this zone arrive.
+
+        The peers are assumed to go on sending while they do not.
+        """
+        before = self._contact
+        if contact == before:
+            return
+        for bucket in self._buckets.values():
+            self._refill(bucket, now)
+            if contact.is_isolated and not before.is_isolated:
+                # The tokens are those of the zone, which goes on using them.
+                bucket.level = min(bucket.level, 0.0)
+        self._contact = contact
+        if contact.silent_since != before.silent_since:
+            self._regained_at = now
+        if contact.is_isolated != before.is_isolated:
+            self._update_shares(now)
+
     def record_zone_heard(self, zone: ZoneName, now: Millis) -> None:
         """Record an announcement of another zone, also one without any rate.
 
@@ -383,9 +469,7 @@
         was_size_known = self._fleet.is_size_known
         if fleet.is_size_known:
             self._heard_zones = zones
-        self._fleet = FleetView(
-            zones, fleet.zone_proxies, fleet.expected_proxies, fleet.is_size_known
-        )
+        self._fleet = replace(fleet, zones=zones)
         self._expire_zone_rates(now)
         self._update_shares(now)
         if fleet.is_size_known and not was_size_known:
@@ -395,6 +479,11 @@
         ]
         for name in idle:
             del self._buckets[name]
+        if (
+            self._contact.silent_since is None
+            and now - self._regained_at >= SETTLING_MS
+        ):
+            self._return_assumed(now)
 
     def list_zone_rates(self, now: Millis) -> list[tuple[WorkspaceName, float]]:
         """Return the workspaces that this zone announces, with its rates.
@@ -443,25 +532,92 @@
 
     # Buckets.
 
-    def _record_send(self, name: WorkspaceName, now: Millis) -> None:
+    def _record_send(
+        self, name: WorkspaceName, now: Millis, count: int = 1, is_own: bool = True
+    ) -> None:
         if not self.has_limits:
             return
         bucket = self._get_bucket(name, now)
         if bucket is None:
             return
         self._refill(bucket, now)
+        self._take_tokens(bucket, self._settle_assumed(bucket, count, is_own, now))
+        if not self._fleet.is_size_known:
+            bucket.early_sends += count
+        bucket.sends = self._decay_sends(bucket, now) + count
+        bucket.peer_sends = self._decay(bucket, bucket.peer_sends, now)
+        if not is_own:
+            bucket.peer_sends += count
+        bucket.counted_at = now
+
+    def _take_tokens(self, bucket: Bucket, tokens: float) -> None:
         # A debt of more than a window cannot come from late reports. It comes from a
         # smaller view of the zone than the peers have, who repay what they run.
         floor = -bucket.share * self._bounds.quota_window_ms / MILLIS_PER_SECOND
         if bucket.level >= 0:
             bucket.uncharged = 0.0
-        level = max(bucket.level - 1, min(floor, -1))
-        bucket.uncharged += level - (bucket.level - 1)
+        level = max(bucket.level - tokens, min(floor, -1))
+        bucket.uncharged += level - (bucket.level - tokens)
         bucket.level = level
-        if not self._fleet.is_size_known:
-            bucket.early_sends += 1
-        bucket.sends = self._decay_sends(bucket, now) + 1
-        bucket.counted_at = now
+
+    # Sends assumed during a silence.
+
+    def _assume_sends(self, bucket: Bucket, now: Millis) -> None:
+        """Charge a bucket with what the peers are likely to have sent in a silence.
+
+        They are assumed to go on as before, and to become busier with this proxy.
+        """
+        assumption = bucket.assumption
+        if assumption is None or assumption.since != self._contact.silent_since:
+            assumption = bucket.assumption = self._make_assumption(bucket)
+        silent_ms = min(now - assumption.since, self._bounds.quota_window_ms)
+        assumed = max(
+            assumption.per_second * silent_ms / MILLIS_PER_SECOND,
+            assumption.per_own_send * assumption.own_sends,
+        )
+        added = max(0.0, assumed - assumption.assumed)
+        assumption.assumed += added
+        assumption.charged += added
+        bucket.level -= added
+
+    def _make_assumption(self, bucket: Bucket) -> Assumption:
+        """Return what is assumed of the peers from the last report on."""
+        since = self._contact.silent_since
+        peer_sends = self._decay(bucket, bucket.peer_sends, since)
+        own_sends = self._decay(bucket, bucket.sends, since) - peer_sends
+        memory_seconds = self._get_memory_ms(bucket) / MILLIS_PER_SECOND
+        earlier = bucket.assumption
+        return Assumption(
+            since,
+            peer_sends / memory_seconds,
+            min(peer_sends / max(own_sends, 1.0), self._fleet.zone_proxies - 1),
+            charged=0.0 if earlier is None else earlier.charged,
+        )
+
+    def _settle_assumed(
+        self, bucket: Bucket, count: int, is_own: bool, now: Millis
+    ) -> float:
+        """Return the tokens that sends cost which were not assumed before."""
+        assumption = bucket.assumption
+        if assumption is None:
+            return count
+        if is_own:
+            if self._contact.silent_since is not None:
+                assumption.own_sends += count
+            return count
+        covered = min(assumption.charged, count)
+        assumption.charged -= covered
+        return count - covered
+
+    def _return_assumed(self, now: Millis) -> None:
+        """Give back what was assumed of sends that nobody has reported."""
+        for bucket in self._buckets.values():
+            if bucket.assumption is None:
+                continue
+            self._refill(bucket, now)
+            level = bucket.level + bucket.assumption.charged
+            bucket.level = min(level, self._compute_capacity(bucket))
+            bucket.assumption = None
 
     def _get_bucket(self, name: WorkspaceName, now: Millis) -> Bucket | None:
         bucket = self._buckets.get(name)
@@ -494,6 +650,8 @@
             level = min(level, max(bucket.level, room))
         bucket.level = min(level, capacity)
         bucket.updated_at = now
+        if self._contact.silent_since is not None:
+            self._assume_sends(bucket, now)
 
     def _credit_start(self, now: Millis) -> None:
         """Fill the buckets as if the fleet had been known since the start."""
@@ -536,6 +694,8 @@
         expected = max(1, fleet.expected_proxies)
         if not fleet.is_size_known:
             expected = max(expected, ASSUMED_ZONE_PROXIES)
+        if self._contact.is_isolated:
+            return ISOLATED_SHARE / expected
         return min(1.0, fleet.zone_proxies / expected)
 
     def _count_zones(self) -> int:
@@ -603,8 +763,11 @@
         return min(max(memory_ms, MIN_RATE_MEMORY_MS), MAX_RATE_MEMORY_MS)
 
     def _decay_sends(self, bucket: Bucket, now: Millis) -> float:
+        return self._decay(bucket, bucket.sends, now)
+
+    def _decay(self, bucket: Bucket, sends: float, now: Millis) -> float:
         elapsed_ms = max(0, now - bucket.counted_at)
-        return bucket.sends * math.exp(-elapsed_ms / self._get_memory_ms(bucket))
+        return sends * math.exp(-elapsed_ms / self._get_memory_ms(bucket))
 
     def _decay_refunds(self, bucket: Bucket, now: Millis) -> float:
         elapsed_ms = max(0, now - bucket.refunded_at)
--- a/tests/workspaces/test_quotas.py
+++ b/tests/workspaces/test_quotas.py
@@ -140,6 +140,41 @@
     def test_zones_that_are_silent_at_the_same_time(self):
         self.check_silence({0, 1, 2}, 2_500)
 
+    def check_cut(self, hot_before_ms):
+        """Cut a third of the proxies off, some time after a workspace became hot."""
+        for fleet, workspace in self.each_fleet():
+            rate = workspace.rate_per_second
+            fleet.run(2_000, [("w", USUAL * rate, ())])
+            fleet.run(hot_before_ms, [("w", HOT * rate, ())])
+            fleet.isolated = {
+                (zone, number)
+                for zone in range(len(ZONES))
+                for number in range(fleet.zone_proxies // 3)
+            }
+            fleet.run(7_000, [("w", HOT * rate, ())])
+            self.check_bound(fleet, workspace)
+
+    def test_proxies_that_are_cut_off_while_a_workspace_is_hot(self):
+        # Each went on with the share of its whole zone until its members timed out.
+        self.check_cut(hot_before_ms=1_000)
+
+    def test_proxies_that_are_cut_off_as_a_workspace_becomes_hot(self):
+        # What they sent until they noticed came on top of the full buckets.
+        self.check_cut(hot_before_ms=0)
+
+    def test_assumed_sends_that_did_not_happen_are_given_back(self):
+        # A silence of the zone cost every workspace the sends of that time.
+        for fleet, workspace in self.each_fleet(((20, 20), (100, 0))):
+            rate = workspace.rate_per_second
+            fleet.run(3_000, [("w", USUAL * rate, ())])
+            fleet.silent_zones = {0}
+            fleet.run(400, [])
+            fleet.silent_zones = set()
+            fleet.run(1_000, [])
+            fleet.asked["w"] = fleet.refused["w"] = 0
+            fleet.run(3_000, [("w", USUAL * rate, ())])
+            self.assertLess(fleet.refused["w"], 0.02 * fleet.asked["w"])
+
 
 class PartitionTest(FleetCase):
     def test_zones_that_lose_contact_while_all_are_hot(self):
@@ -199,9 +234,8 @@
             rate = workspace.rate_per_second
             for number in range(12):
                 fleet.run(500, [("w", HOT * rate, ())])
-                for zone, name in enumerate(ZONES):
-                    now = fleet.clock.now()
-                    fleet.tables[zone][number] = fleet.make_table(name, now)
+                for zone in range(len(ZONES)):
+                    fleet.restart(zone, number)
             self.check_bound(fleet, workspace)
 
 
