Reject replies with a status that is none

A response class that both paths use accepts three digits from 100 to 599; anything else is a malformed reply. The tests failed before for these statuses, and passed for 000.

--- a/damaskdyke/upstreams/pools.py
+++ b/damaskdyke/upstreams/pools.py
@@ -1,6 +1,5 @@
 """Connection pool for one upstream, bounded by this proxy's share of its limit."""
 
-import http.client
 import threading
 
 from urllib3.connection import HTTPConnection
@@ -10,13 +9,14 @@
 from damaskdyke.core.clock import Clock, Deadline, Millis
 from damaskdyke.core.ids import Address
 from damaskdyke.upstreams.messages import Failure, UpstreamError
+from damaskdyke.upstreams.responses import StrictResponse
 from damaskdyke.utils.sockets import WholeLineReader
 
 # A connection that was idle for longer is closed instead of reused.
 MAX_IDLE_MS = 20_000
 
 
-class WholeHeadResponse(http.client.HTTPResponse):
+class WholeHeadResponse(StrictResponse):
     """Response that fails if the connection ends within its head."""
 
     def __init__(self, *args: object, **options: object):
--- a/tests/upstreams/test_calls.py
+++ b/tests/upstreams/test_calls.py
@@ -81,6 +81,24 @@
         self.state.faults = Faults(wrong=True)
         self.assertIs(self.read_failure(), Failure.MISMATCHED)
 
+    def read_failure_of(self, reply):
+        """Return the failure of a request that gets these bytes for a reply."""
+        listener = self.enterContext(socket.create_server(("127.0.0.1", 0)))
+        address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
+        self.pool = UpstreamPool(address, Clock(), 500, "127.0.0.1")
+
+        def answer():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65_536)
+                connection.sendall(reply)
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        failure = self.read_failure()
+        thread.join()
+        return failure
+
     def test_reply_that_ends_within_its_head_fails(self):
         for head in (
             b"HTTP/1.1 204 No Content\r\n",
@@ -88,22 +106,16 @@
             b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Result: do",
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0",
         ):
-            listener = self.enterContext(socket.create_server(("127.0.0.1", 0)))
-            address = Address(f"127.0.0.1:{listener.getsockname()[1]}")
-            self.pool = UpstreamPool(address, Clock(), 500, "127.0.0.1")
-
-            def answer(listener=listener, head=head):
-                connection, _ = listener.accept()
-                with connection:
-                    connection.recv(65_536)
-                    connection.sendall(head)
-
-            thread = threading.Thread(target=answer)
-            thread.start()
             with self.subTest(head):
-                failure = self.read_failure()
+                failure = self.read_failure_of(head)
                 self.assertIn(failure, (Failure.MALFORMED, Failure.TRUNCATED))
-            thread.join()
+
+    def test_reply_with_a_status_that_is_none_fails(self):
+        # It was passed on as 200, or with a status from 600 on.
+        for status in (b"000", b"600", b"0200", b"+200", b"2_00"):
+            reply = b"HTTP/1.1 %s OK\r\nContent-Length: 0\r\n\r\n" % status
+            with self.subTest(status):
+                self.assertIs(self.read_failure_of(reply), Failure.MALFORMED)
 
     def test_connection_limit_is_enforced(self):
         self.pool.max_open = 0
