Confirm reports that waited before they were sent

A report is sent up to 250 ms after it was made, but it was compared by the time of the send when the hub relayed it back, so that only a later report confirmed it. In a quiet zone none follows, and the hub was left out for seconds although it worked. The newest time of the reports in a datagram is kept beside the time of the send. Test: test_report_that_waited_before_it_was_sent_is_confirmed.

--- a/damaskdyke/fleet/contact.py
+++ b/damaskdyke/fleet/contact.py
@@ -47,8 +47,9 @@
         self._heard_at = started_at
         self._message_at = started_at
         self._hub: str | None = None
-        # Times of the reports that the hub has not relayed back yet, the oldest first.
-        self._unconfirmed: deque[Millis] = deque(maxlen=MAX_UNCONFIRMED)
+        # Datagrams that the hub has not relayed back yet, the oldest first: the time of
+        # the newest report in each, and when it was sent.
+        self._unconfirmed: deque[tuple[Millis, Millis]] = deque(maxlen=MAX_UNCONFIRMED)
         # Hub that is left out, until when and for how long.
         self._avoided: str | None = None
         self._avoided_until = Millis(0)
@@ -64,17 +65,17 @@
         """Record that any datagram of another proxy of the zone arrived."""
         self._message_at = now
 
-    def record_sent(self, hub: str, now: Millis) -> None:
-        """Record that reports were given to the hub at a time."""
+    def record_sent(self, hub: str, reported_at: Millis, now: Millis) -> None:
+        """Record that reports were given to the hub, and the time of the newest one."""
         if hub != self._hub:
             self._hub = hub
             self._unconfirmed.clear()
             self._is_failing = False
-        self._unconfirmed.append(now)
+        self._unconfirmed.append((reported_at, now))
 
     def record_relayed(self, reported_at: Millis) -> None:
         """Record that a report of this proxy came back from the hub."""
-        while self._unconfirmed and self._unconfirmed[0] <= reported_at:
+        while self._unconfirmed and self._unconfirmed[0][0] <= reported_at:
             self._unconfirmed.popleft()
         self._is_failing = False
         if self._avoided == self._hub:
@@ -107,7 +108,7 @@
         """Return since when no report of the zone arrives, ``None`` if they do.
 
         A zone that has nothing to report is not silent: the hub relays the reports of
-        this proxy, and heartbeats arrive without a hub.
+        this proxy, and heartbeats arrive.
 
         Parameters
         ----------
@@ -122,8 +123,11 @@
         if now - max(self._heard_at, self._message_at) >= ISOLATION_MS:
             return self._heard_at
         is_silent = now - self._heard_at >= SILENCE_MS
-        is_waiting = self._is_failing or self._has_waited(SILENCE_MS, now)
-        return self._heard_at if is_silent and is_waiting else None
+        return self._heard_at if is_silent and self.is_unrelayed(now) else None
+
+    def is_unrelayed(self, now: Millis) -> bool:
+        """Return whether reports of this proxy were sent, and the hub relays none."""
+        return self._is_failing or self._has_waited(SILENCE_MS, now)
 
     def is_isolated(self, has_hub: bool, now: Millis) -> bool:
         """Return whether this proxy seems to be cut off from its zone.
@@ -150,4 +154,4 @@
 
     def _has_waited(self, duration_ms: int, now: Millis) -> bool:
         """Return whether a report has not been relayed back for some time."""
-        return bool(self._unconfirmed) and now - self._unconfirmed[0] >= duration_ms
+        return bool(self._unconfirmed) and now - self._unconfirmed[0][1] >= duration_ms
--- a/tests/fleet/test_contact.py
+++ b/tests/fleet/test_contact.py
@@ -25,14 +25,14 @@
     def test_hub_that_relays_is_used(self):
         for now in range(0, 5_000, 50):
             self.assertTrue(self.contact.may_use(HUB, now))
-            self.contact.record_sent(HUB, now)
+            self.contact.record_sent(HUB, now, now)
             self.contact.record_heard(now + 45)
             self.contact.record_relayed(now)
         self.assertIsNone(self.contact.find_silence(True, 5_000))
 
     def test_hub_that_relays_nothing_is_left_out(self):
         # Its reports were lost until it had been silent for 1.5 s.
-        self.contact.record_sent(HUB, 0)
+        self.contact.record_sent(HUB, 0, 0)
         self.assertTrue(self.contact.may_use(HUB, RELAY_TIMEOUT_MS - 1))
         self.assertFalse(self.contact.may_use(HUB, RELAY_TIMEOUT_MS))
         later = RELAY_TIMEOUT_MS + MIN_AVOIDANCE_MS
@@ -43,7 +43,7 @@
         # An overloaded hub got all reports again each second.
         now = longest = 0
         for _ in range(6):
-            self.contact.record_sent(HUB, now)
+            self.contact.record_sent(HUB, now, now)
             now += RELAY_TIMEOUT_MS
             self.assertFalse(self.contact.may_use(HUB, now))
             started_at = now
@@ -53,20 +53,27 @@
         self.assertEqual(longest, MAX_AVOIDANCE_MS)
 
     def test_hub_that_relays_only_the_others_is_left_out_later(self):
-        self.contact.record_sent(HUB, 0)
+        self.contact.record_sent(HUB, 0, 0)
         self.contact.record_heard(RELAY_TIMEOUT_MS)
         self.assertTrue(self.contact.may_use(HUB, RELAY_TIMEOUT_MS))
         self.contact.record_heard(OWN_RELAY_TIMEOUT_MS)
         self.assertFalse(self.contact.may_use(HUB, OWN_RELAY_TIMEOUT_MS))
 
     def test_lost_report_is_no_failure_if_a_later_one_returns(self):
-        self.contact.record_sent(HUB, 0)
-        self.contact.record_sent(HUB, 40)
+        self.contact.record_sent(HUB, 0, 0)
+        self.contact.record_sent(HUB, 40, 40)
         self.contact.record_relayed(40)
         self.assertTrue(self.contact.may_use(HUB, RELAY_TIMEOUT_MS))
 
+    def test_report_that_waited_before_it_was_sent_is_confirmed(self):
+        # Only a later report confirmed it, and in a quiet zone none follows.
+        self.contact.record_sent(HUB, 10, 50)
+        self.contact.record_heard(95)
+        self.contact.record_relayed(10)
+        self.assertTrue(self.contact.may_use(HUB, 50 + OWN_RELAY_TIMEOUT_MS))
+
     def test_another_hub_is_used_at_once(self):
-        self.contact.record_sent(HUB, 0)
+        self.contact.record_sent(HUB, 0, 0)
         self.assertFalse(self.contact.may_use(HUB, RELAY_TIMEOUT_MS))
         self.assertTrue(self.contact.may_use(OTHER, RELAY_TIMEOUT_MS))
 
@@ -84,13 +91,13 @@
             self.assertFalse(self.contact.is_isolated(True, now + 300))
 
     def test_reports_that_are_not_relayed_show_a_silence(self):
-        self.contact.record_sent(HUB, 120)
+        self.contact.record_sent(HUB, 120, 120)
         self.assertIsNone(self.contact.find_silence(True, 120 + SILENCE_MS - 1))
         self.assertEqual(self.contact.find_silence(True, 120 + SILENCE_MS), 100)
 
     def test_heartbeats_show_that_a_proxy_is_not_isolated(self):
         now = 100 + ISOLATION_MS
-        self.contact.record_sent(HUB, 120)
+        self.contact.record_sent(HUB, 120, 120)
         self.assertTrue(self.contact.is_isolated(True, now))
         self.contact.record_message(now - 10)
         self.assertFalse(self.contact.is_isolated(True, now))
--- a/tests/workspaces/fleets.py
+++ b/tests/workspaces/fleets.py
@@ -190,7 +190,7 @@
             return
         proxy.table.record_own_send(name, now)
         if proxy.contact.may_use(HUB, now):
-            proxy.contact.record_sent(HUB, now)
+            proxy.contact.record_sent(HUB, now, now)
         total = proxy.own_totals.add(name, now)
         self.send(REPORT_DELAYS_MS, self.report, proxy, name, total, now)
         if self.refusal_share and self.random.random() < self.refusal_share:
