--- a/damaskdyke/workspaces/quotas.py
+++ b/damaskdyke/workspaces/quotas.py
@@ -556,7 +556,7 @@
         floor = -bucket.share * self._bounds.quota_window_ms / MILLIS_PER_SECOND
         if bucket.level >= 0:
             bucket.uncharged = 0.0
-        level = max(bucket.level - tokens, min(floor, -1))
+        level = min(bucket.level, max(bucket.level - tokens, min(floor, -1)))
         bucket.uncharged += level - (bucket.level - tokens)
         bucket.level = level
 
