--- a/damaskdyke/fleet/contact.py
+++ b/damaskdyke/fleet/contact.py
@@ -10,7 +10,7 @@
 from collections import deque
 
 from damaskdyke.core.clock import Millis
-from damaskdyke.workspaces.quotas import ZoneContactState
+from damaskdyke.workspaces.silence import ZoneContactState
 
 # Time in which the hub has relayed a report back. It waits for further reports for 40
 # ms, and a VM may be slow to handle them.
--- a/damaskdyke/workspaces/quotas.py
+++ b/damaskdyke/workspaces/quotas.py
@@ -19,6 +19,11 @@
 from damaskdyke.core.clock import MILLIS_PER_SECOND, Millis
 from damaskdyke.core.ids import WorkspaceName, ZoneName
 from damaskdyke.workspaces.directory import Directory
+from damaskdyke.workspaces.silence import (
+    IN_CONTACT,
+    Assumption,
+    ZoneContactState,
+)
 from damaskdyke.workspaces.types import Workspace
 
 # Parts of the fleet's tolerance, (window x rate + burst) x over and slack, that the
@@ -117,26 +122,6 @@
     is_size_known: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class ZoneContactState:
-    """Whether the load reports of a proxy's zone arrive.
-
-    Parameters
-    ----------
-    silent_since : Millis or None
-        Since when they do not, ``None`` if they do.
-    is_isolated : bool
-        Whether the proxy seems to be cut off from its zone. The others need longer to
-        notice that, and use its part of the zone's share until then.
-    """
-
-    silent_since: Millis | None = None
-    is_isolated: bool = False
-
-
-IN_CONTACT = ZoneContactState()
-
-
 @dataclass(frozen=True, slots=True)
 class Admission:
     """Decision about one request, with its inputs.
@@ -170,35 +155,6 @@
 UNLIMITED = Admission(is_allowed=True)
 
 
-@dataclass(slots=True)
-class Assumption:
-    """Sends of the peers of one workspace that are assumed while no report arrives.
-
-    Parameters
-    ----------
-    since : Millis
-        Time of the last report before the silence.
-    per_second : float
-        Rate of the peers' sends before the silence.
-    per_own_send : float
-        Sends of the peers for each own one before the silence.
-    own_sends : int
-        Own sends during the silence.
-    assumed : float
-        Sends that are assumed for this silence.
-    charged : float
-        Tokens that were taken for assumed sends, less those reported since, also of
-        earlier silences.
-    """
-
-    since: Millis
-    per_second: float
-    per_own_send: float
-    own_sends: int = 0
-    assumed: float = 0.0
-    charged: float = 0.0
-
-
 @dataclass(slots=True)
 class Bucket:
     """State of one active workspace.
@@ -541,7 +497,7 @@
         if bucket is None:
             return
         self._refill(bucket, now)
-        self._take_tokens(bucket, self._settle_assumed(bucket, count, is_own, now))
+        self._take_tokens(bucket, self._settle_assumed(bucket, count, is_own))
         if not self._fleet.is_size_known:
             bucket.early_sends += count
         bucket.sends = self._decay_sends(bucket, now) + count
@@ -563,22 +519,11 @@
     # Sends assumed during a silence.
 
     def _assume_sends(self, bucket: Bucket, now: Millis) -> None:
-        """Charge a bucket with what the peers are likely to have sent in a silence.
-
-        They are assumed to go on as before, and to become busier with this proxy.
-        """
+        """Charge a bucket with what the peers are likely to have sent in a silence."""
         assumption = bucket.assumption
         if assumption is None or assumption.since != self._contact.silent_since:
             assumption = bucket.assumption = self._make_assumption(bucket)
-        silent_ms = min(now - assumption.since, self._bounds.quota_window_ms)
-        assumed = max(
-            assumption.per_second * silent_ms / MILLIS_PER_SECOND,
-            assumption.per_own_send * assumption.own_sends,
-        )
-        added = max(0.0, assumed - assumption.assumed)
-        assumption.assumed += added
-        assumption.charged += added
-        bucket.level -= added
+        bucket.level -= assumption.extend(now, self._bounds.quota_window_ms)
 
     def _make_assumption(self, bucket: Bucket) -> Assumption:
         """Return what is assumed of the peers from the last report on."""
@@ -591,23 +536,19 @@
             since,
             peer_sends / memory_seconds,
             min(peer_sends / max(own_sends, 1.0), self._fleet.zone_proxies - 1),
-            charged=0.0 if earlier is None else earlier.charged,
+            0.0 if earlier is None else earlier.charged,
         )
 
-    def _settle_assumed(
-        self, bucket: Bucket, count: int, is_own: bool, now: Millis
-    ) -> float:
+    def _settle_assumed(self, bucket: Bucket, count: int, is_own: bool) -> float:
         """Return the tokens that sends cost which were not assumed before."""
         assumption = bucket.assumption
         if assumption is None:
             return count
-        if is_own:
-            if self._contact.silent_since is not None:
-                assumption.own_sends += count
-            return count
-        covered = min(assumption.charged, count)
-        assumption.charged -= covered
-        return count - covered
+        if not is_own:
+            return assumption.settle(count)
+        if self._contact.silent_since is not None:
+            assumption.own_sends += count
+        return count
 
     def _return_assumed(self, now: Millis) -> None:
         """Give back what was assumed of sends that nobody has reported."""
