--- a/tests/fleet/test_zone_rates.py
+++ b/tests/fleet/test_zone_rates.py
@@ -1,6 +1,7 @@
 """Tests of the exchange of the zones' rates of workspaces, over UDP and in part."""
 
 import unittest
+from unittest import mock
 
 from damaskdyke.conf.vm import DEFAULT_BOUNDS, StoreSettings, VmSettings
 from damaskdyke.core.clock import Clock
@@ -121,6 +122,20 @@
         wait_for(lambda: received, "the announcement")
         self.assertEqual(received, [("a", [("w", 1.0)])])
 
+    def test_proxy_whose_counts_stand_still_announces_nothing(self):
+        # The other zones used what it had not counted.
+        self.start_fleet("ab")
+        self.clock.offset_ms = COUNTING_MS
+        quotas = self.fleet[0][1]
+        quotas.rates = [("w", 1.0)]
+        with mock.patch.object(GossipChannel, "has_current_counts", new=False):
+            self.announce()
+        quotas.rates = [("w", 2.0)]
+        self.announce()
+        received = self.fleet[1][1].received
+        wait_for(lambda: received, "the announcement")
+        self.assertEqual(received, [("a", [("w", 2.0)])])
+
     def describe_zone(self, number=0):
         gossip, quotas, exchange = self.fleet[number]
         exchange.update()
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -22,6 +22,7 @@
 from damaskdyke.upstreams.messages import Header
 from damaskdyke.workspaces.directory import Directory
 from damaskdyke.workspaces.quotas import FleetView
+from damaskdyke.workspaces.silence import IN_CONTACT, ZoneContactState
 from damaskdyke.workspaces.types import Workspace
 from tests.gateway.cases import GatewayCase, make_route
 
@@ -167,6 +168,36 @@
         self.assertEqual(counts[OTHER_WORKSPACES], 5)
 
 
+class SilenceTest(QuotaCase):
+    """Peers sent requests of a workspace before the reports of the zone stopped."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(self.clock.now())
+        self.dispatcher._clock = self.clock
+        self.dispatcher.update_quotas(FleetView(frozenset({"a"}), 5, 5))
+        self.report_sends(12)
+
+    def measure_refill(self):
+        before = self.read_level()
+        self.clock.advance(500)
+        return self.read_level() - before
+
+    def test_bucket_of_a_silent_zone_does_not_fill_up(self):
+        # Each proxy admitted everything, as nobody seemed to use the quota.
+        usual = self.measure_refill()
+        contact = ZoneContactState(self.clock.now())
+        self.gossip.get_zone_contact = lambda: contact
+        self.assertLess(self.measure_refill(), 0.1 * usual)
+
+    def test_isolated_proxy_uses_a_small_part(self):
+        contact = ZoneContactState(self.clock.now(), is_isolated=True)
+        self.gossip.get_zone_contact = lambda: contact
+        share = self.dispatcher.admit(LIMITED).per_second
+        self.gossip.get_zone_contact = lambda: IN_CONTACT
+        self.assertAlmostEqual(self.dispatcher.admit(LIMITED).per_second / share, 20)
+
+
 class RefundTest(QuotaCase):
     """A request that ends refused and certainly did not run costs nothing.
 
