Order what the store holds by its restores first, then by revision

Cause: states of the store were ordered by revision alone, which a restored store gives out again. A reader at revision 11 asked to watch from 11, got 410, listed the store at 5, kept 11 as the higher one, and asked from 11 again. Peers pulled nothing, as their reader was ahead. Once the store had grown past 11, whatever it wrote below was never seen.

A proof of an earlier era proves nothing.

--- a/damaskdyke/gateway/reports.py
+++ b/damaskdyke/gateway/reports.py
@@ -10,6 +10,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from damaskdyke.catalogue.catalogue import Catalogue
+from damaskdyke.catalogue.revisions import describe_revision
 from damaskdyke.conf.vm import VmSettings
 from damaskdyke.core.clock import Clock
 from damaskdyke.core.ids import RequestId
@@ -68,7 +69,7 @@
             "phase": self._get_phase(),
             "proxies": self._count_proxies(),
             "version": view.version,
-            "revision": view.revision,
+            **describe_revision(view.revision),
             "suspects": self._dispatcher.count_suspects(),
         }
         if view.directory is not None:
--- a/damaskdyke/workspaces/freshness.py
+++ b/damaskdyke/workspaces/freshness.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from damaskdyke.catalogue.revisions import StoreRevision, get_era
 from damaskdyke.core.clock import Millis
 
 # Share of the bound after which a proof is to be renewed, and after which anybody is
@@ -42,14 +43,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Proof:
-    """At ``proven_at`` the store had no change after ``revision``."""
+    """At ``proven_at`` the store had no change after ``revision``.
+
+    It proves nothing of a later era, in which the store may have lost that state.
+    """
 
     proven_at: Millis
-    revision: int
+    revision: StoreRevision
 
 
 def is_as_good(one: Proof, other: Proof) -> bool:
     """Return whether a proof is not older than another and needs no later revision."""
+    if get_era(one.revision) != get_era(other.revision):
+        return False
     return one.proven_at >= other.proven_at and one.revision <= other.revision
 
 
@@ -88,7 +94,7 @@
 
     # Sources of proofs.
 
-    def record_watch(self, sent_at: Millis, revision: int) -> None:
+    def record_watch(self, sent_at: Millis, revision: StoreRevision) -> None:
         """Record the answer of the store to a watch of this proxy.
 
         The answer may have been on its way for any time, so it proves what held when
@@ -102,7 +108,9 @@
         with self._lock:
             self._questions.append(now)
 
-    def record_answer(self, asked_at: Millis, age_ms: int, revision: int) -> None:
+    def record_answer(
+        self, asked_at: Millis, age_ms: int, revision: StoreRevision
+    ) -> None:
         """Record a peer's proof in answer to a question of this proxy.
 
         The peer stated the age after the question was asked, so its proof is at least
@@ -124,25 +132,32 @@
 
     # Use.
 
-    def find_proof(self, revision: int) -> Proof | None:
+    def find_proof(self, revision: StoreRevision) -> Proof | None:
         """Return the newest proof for a catalogue that has reached a revision."""
         with self._lock:
-            known = [proof for proof in self._proofs if proof.revision <= revision]
+            known = [
+                proof
+                for proof in self._proofs
+                if proof.revision <= revision
+                and get_era(proof.revision) == get_era(revision)
+            ]
         return max(known, key=lambda proof: proof.proven_at, default=None)
 
-    def get_age_ms(self, revision: int, now: Millis) -> int | None:
+    def get_age_ms(self, revision: StoreRevision, now: Millis) -> int | None:
         """Return the age in ms of the newest proof for a revision, if there is one."""
         proof = self.find_proof(revision)
         return None if proof is None else now - proof.proven_at
 
-    def is_fresh(self, revision: int, now: Millis) -> bool:
+    def is_fresh(self, revision: StoreRevision, now: Millis) -> bool:
         """Return whether keys of the catalogue at a revision may be relied on now."""
         if self._max_age_ms is None:
             return True
         age_ms = self.get_age_ms(revision, now)
         return age_ms is not None and age_ms <= self._max_age_ms
 
-    def select_question(self, revision: int, now: Millis) -> QuestionScope | None:
+    def select_question(
+        self, revision: StoreRevision, now: Millis
+    ) -> QuestionScope | None:
         """Return whom to ask for a proof now, ``None`` if nobody is to be asked."""
         if self._max_age_ms is None:
             return None
--- a/tests/platform/test_restores.py
+++ b/tests/platform/test_restores.py
@@ -65,3 +65,22 @@
                 self.assertEqual(self.call(proxy)[0], 200)
         after = sum(left.runs.values()) + sum(leaving.runs.values())
         self.assertEqual(after, before)
+
+    def test_proxy_restarted_after_a_restore_does_not_serve_an_older_version(self):
+        copy = self.lose_changes()
+        rules = make_config(8, RULE, ORDER_RULE, ADDED_RULE)
+        self.fleet.store.put(names.RULES_KEY, rules)
+        for proxy in self.fleet.proxies:
+            wait_for(
+                lambda proxy=proxy: self.call(proxy, "/added/x")[0] == 200,
+                "the added route",
+            )
+        self.restore(copy)
+        restarted = self.fleet.proxies[-1]
+        restarted.process.kill()
+        restarted.process.start()
+        wait_for(restarted.is_ready, "readiness")
+        wait_for(
+            lambda: self.call(restarted, "/added/x")[0] == 200,
+            "the route that the store lost",
+        )
--- a/tests/workspaces/test_freshness.py
+++ b/tests/workspaces/test_freshness.py
@@ -8,6 +8,7 @@
 import unittest
 from unittest import mock
 
+from damaskdyke.catalogue.revisions import make_era, make_revision
 from damaskdyke.catalogue.types import Change
 from damaskdyke.conf.vm import DEFAULT_BOUNDS
 from damaskdyke.core.clock import ManualClock
@@ -49,6 +50,14 @@
         self.assertFalse(self.tracker.is_fresh(8, now))
         self.assertTrue(self.tracker.is_fresh(9, now))
 
+    def test_proof_of_an_earlier_era_proves_nothing(self):
+        # The store was restored from a copy that lacks a withdrawal.
+        self.tracker.record_watch(1_000, make_revision(make_era(1), 900))
+        restored = make_revision(make_era(2), 880)
+        self.assertFalse(self.tracker.is_fresh(restored, 1_100))
+        self.tracker.record_watch(1_050, restored)
+        self.assertTrue(self.tracker.is_fresh(restored, 1_100))
+
     def test_proof_that_can_be_used_is_kept_beside_many_others(self):
         # Answers with older proofs, or for a revision still to come, replaced it.
         self.tracker.record_watch(9_000, 7)
