Refuse replies whose head is spoilt

Cause: the HTTP library takes what it can use. It reads lengths and sizes of chunks with int (+11, 1_1, 0xb), ends a head at a line without a colon, ends a line at a bare CR, and passes on any name.

All of these are malformed replies.

--- a/damaskdyke/gateway/callers.py
+++ b/damaskdyke/gateway/callers.py
@@ -16,12 +16,6 @@
 )
 
 from damaskdyke.core.clock import Clock, Millis
-from damaskdyke.gateway.heads import (
-    HeadChecker,
-    HeadFault,
-    HeadRefused,
-    find_request_line_fault,
-)
 from damaskdyke.gateway.memory import MAX_WAIT_MS
 from damaskdyke.gateway.memory_holds import (
     STALL_MS,
@@ -30,6 +24,12 @@
     MemoryRefused,
 )
 from damaskdyke.gateway.pipeline import Pipeline
+from damaskdyke.utils.heads import (
+    HeadChecker,
+    HeadFault,
+    HeadRefused,
+    find_request_line_fault,
+)
 from damaskdyke.utils.logs import log_event
 from damaskdyke.utils.polling import is_hung_up, is_readable
 from damaskdyke.utils.sockets import TimedSocketIO
--- a/tests/gateway/test_heads.py
+++ b/tests/gateway/test_heads.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from damaskdyke.gateway.heads import HeadChecker, HeadFault, HeadRefused
 from damaskdyke.testbed.processes import wait_for
+from damaskdyke.utils.heads import HeadChecker, HeadFault, HeadRefused
 from tests.gateway.test_pipelining import PipeliningCase, make_request, read_answers
 
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
--- a/tests/upstreams/test_calls.py
+++ b/tests/upstreams/test_calls.py
@@ -117,6 +117,21 @@
             with self.subTest(status):
                 self.assertIs(self.read_failure_of(reply), Failure.MALFORMED)
 
+    def test_reply_with_a_spoilt_head_fails(self):
+        # A line that is no field ended the head for the library, and +3 was a length.
+        for line in (b"no field", b"X Name: x", b"X-\x01: x", b"Content-Length: +3"):
+            reply = b"HTTP/1.1 200 OK\r\n%s\r\nContent-Length: 3\r\n\r\nabc" % line
+            with self.subTest(line):
+                self.assertIs(self.read_failure_of(reply), Failure.MALFORMED)
+
+    def test_reply_with_a_spoilt_chunk_size_fails(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for size in (b"+3", b"0x3", b"-3", b" 3", b"0_3"):
+            reply = b"%s%s\r\nabc\r\n0\r\n\r\n" % (head, size)
+            with self.subTest(size):
+                failure = self.read_failure_of(reply)
+                self.assertIn(failure, (Failure.MALFORMED, Failure.TRUNCATED))
+
     def test_connection_limit_is_enforced(self):
         self.pool.max_open = 0
         self.assertIs(self.read_failure(), Failure.CONNECT)
