Let an upstream that starts again replace its withheld entry

At the end of the restraint after a restore, the withheld entry of a removed incarnation replaced the one of a later incarnation that had started since.

--- a/damaskdyke/catalogue/departures.py
+++ b/damaskdyke/catalogue/departures.py
@@ -53,6 +53,7 @@
 
     def restrain(self, instance: Instance) -> Instance | None:
         """Return an instance as it may be used, ``None`` if it is withheld."""
+        self.drop_withheld(instance.id)
         if self.restrained_until is None:
             self._removed.pop(instance.id, None)
             return instance
@@ -64,7 +65,7 @@
         return instance
 
     def drop_withheld(self, upstream: UpstreamId) -> None:
-        """Drop the withheld entry of an upstream, which is removed now."""
+        """Drop the withheld entry of an upstream, which is removed or replaced."""
         self._withheld.pop(upstream, None)
 
     def count_withheld(self) -> int:
--- a/tests/catalogue/test_restores.py
+++ b/tests/catalogue/test_restores.py
@@ -247,6 +247,13 @@
         self.assertEqual(self.state.view.version, 6)
         self.assertEqual(self.state.carried_version, 0)
 
+    def test_version_that_is_written_again_is_no_longer_carried(self):
+        self.apply(11, make_change(RULES, 0, make_config(5)))
+        self.restore()
+        self.apply(5, make_change(RULES, 0, make_config(5)), restores=1)
+        self.assertEqual(self.state.view.version, 5)
+        self.assertEqual(self.state.carried_version, 0)
+
     def test_upstream_that_the_copy_lacks_is_held_and_then_gone(self):
         self.restore(names=("u1", "u2"))
         self.advance(LAPSE_HOLD_MS - 1)
@@ -284,6 +291,8 @@
         for name in ("u1", "u2"):
             self.apply(5, self.make_entry(name, 0, born=99), restores=1)
         self.assertEqual(self.list_used(), {"u1", "u2", "u3"})
+        self.advance(RESTRAINT_MS)
+        self.assertEqual(self.state.view.instances["u1"].incarnation, 99)
 
     def test_peer_that_was_further_in_an_earlier_era_takes_the_restored_state(self):
         peer = self.make_state()
