Keep rewinds of the store within the era that it states

A store whose listings went back more than 63 times in one stated era would have reached the next era by itself, and its own answers would have counted as outdated for good. Found in reading the change again; the test fails before with OUTDATED on the listing after the 63rd rewind.

--- a/damaskdyke/catalogue/revisions.py
+++ b/damaskdyke/catalogue/revisions.py
@@ -36,6 +36,12 @@
     return era >> REWIND_BITS
 
 
+def find_rewound_era(era: StoreEra) -> StoreEra:
+    """Return the era after a rewind, the same one if there were too many before."""
+    rewound = StoreEra(era + 1)
+    return rewound if get_restores(rewound) == get_restores(era) else era
+
+
 def make_revision(era: StoreEra, number: int) -> StoreRevision:
     """Return the revision with a number that the store gave out in an era."""
     return StoreRevision(era << NUMBER_BITS | number)
--- a/tests/catalogue/test_restores.py
+++ b/tests/catalogue/test_restores.py
@@ -180,6 +180,13 @@
         later = self.client.list_all(False, revision)[1]
         self.assertEqual(later, make_revision(make_era(1), 2))
 
+    def test_rewinds_of_one_era_do_not_reach_the_next_one(self):
+        self.store.era = 1
+        _, revision = self.client.list_all(False)
+        for _ in range(100):
+            revision = self.client.list_all(False, revision + 1)[1]
+        self.assertEqual(get_restores(get_era(revision)), 1)
+
     def test_stale_listing_below_what_was_known_is_of_no_new_era(self):
         known = make_revision(make_era(0), 9)
         self.assertLess(self.client.list_all(True, known)[1], known)
