Keep the later incarnation of an upstream that a restored copy shows before it

An upstream that had started again in the lost history appeared with its earlier start time, until it wrote its entry again: requests named the earlier incarnation, and what was known of the later one was dropped. Found in reading the change again; the new test fails before with the earlier incarnation in use. If the earlier entry is still there after the restraint, it is used.

--- a/damaskdyke/catalogue/departures.py
+++ b/damaskdyke/catalogue/departures.py
@@ -1,4 +1,4 @@
-"""Memory of upstreams that left, for entries that a restored store brings back."""
+"""Memory of upstreams that left or restarted, for entries of a restored store."""
 
 from dataclasses import replace
 
@@ -16,9 +16,10 @@
 class DepartureMemory:
     """Restrains entries of upstreams that had left before the store was restored.
 
-    The copy may show an upstream as it was before it left, and its own newer report is
-    lost. For `RESTRAINT_MS` an incarnation that was leaving stays so, and one whose
-    entry was removed is withheld. Not thread-safe.
+    The copy may show an upstream as it was before it left or started again, and its own
+    newer report is lost. For `RESTRAINT_MS` an incarnation that was leaving stays so,
+    one whose entry was removed is withheld, and a later one is not replaced. Not
+    thread-safe.
 
     Attributes
     ----------
@@ -27,11 +28,11 @@
     """
 
     def __init__(self):
-        # Incarnations by upstream: those whose entries were removed, the oldest first,
-        # and those that were leaving at the restore.
+        # Incarnations whose entries were removed, the oldest first.
         self._removed: dict[UpstreamId, int] = {}
-        self._leaving: dict[UpstreamId, int] = {}
-        # Entries of removed incarnations that the restored store holds.
+        # Instances before the restore.
+        self._known: dict[UpstreamId, Instance] = {}
+        # Entries of incarnations that had ended, which the restored store holds.
         self._withheld: dict[UpstreamId, Instance] = {}
         self.restrained_until: Millis | None = None
 
@@ -44,11 +45,7 @@
 
     def begin_restore(self, instances: dict[UpstreamId, Instance], now: Millis) -> None:
         """Begin to restrain entries; the instances are those known before."""
-        self._leaving = {
-            item.id: item.incarnation
-            for item in instances.values()
-            if item.state is InstanceState.LEAVING
-        }
+        self._known = dict(instances)
         self.restrained_until = Millis(now + RESTRAINT_MS)
 
     def restrain(self, instance: Instance) -> Instance | None:
@@ -60,7 +57,13 @@
         if self._removed.get(instance.id) == instance.incarnation:
             self._withheld[instance.id] = instance
             return None
-        if self._leaving.get(instance.id) == instance.incarnation:
+        known = self._known.get(instance.id)
+        if known is None or known.incarnation < instance.incarnation:
+            return instance
+        if known.incarnation > instance.incarnation:
+            self._withheld[instance.id] = instance
+            return known
+        if known.state is InstanceState.LEAVING:
             return replace(instance, state=InstanceState.LEAVING)
         return instance
 
@@ -77,7 +80,7 @@
         if self.restrained_until is None or now < self.restrained_until:
             return []
         self.restrained_until = None
-        self._leaving = {}
+        self._known = {}
         returned = list(self._withheld.values())
         self._withheld = {}
         for instance in returned:
--- a/tests/catalogue/test_restores.py
+++ b/tests/catalogue/test_restores.py
@@ -301,6 +301,21 @@
         self.advance(RESTRAINT_MS)
         self.assertEqual(self.state.view.instances["u1"].incarnation, 99)
 
+    def test_incarnation_of_the_copy_does_not_replace_a_later_one(self):
+        self.apply(11, self.make_entry("u1", 0, born=99))
+        self.restore()
+        self.assertEqual(self.state.view.instances["u1"].incarnation, 99)
+        self.apply(5, self.make_entry("u1", 0, born=100), restores=1)
+        self.assertEqual(self.state.view.instances["u1"].incarnation, 100)
+        self.advance(RESTRAINT_MS)
+        self.assertEqual(self.state.view.instances["u1"].incarnation, 100)
+
+    def test_earlier_incarnation_is_used_if_its_entry_does_not_lapse(self):
+        self.apply(11, self.make_entry("u1", 0, born=99))
+        self.restore()
+        self.advance(RESTRAINT_MS)
+        self.assertEqual(self.state.view.instances["u1"].incarnation, 1)
+
     def test_peer_that_was_further_in_an_earlier_era_takes_the_restored_state(self):
         peer = self.make_state()
         changes, _, revision = self.state.list_since(peer.revision)
