Keep proofs of freshness over a restore of the store

What callers saw: after each restore all requests with keys got 503 (key-unproven) until the proxy had a proof of the new era. Found by the soak with restores; 12 callers, 6 proxies, 15 s, 10 to 13 restores.

Cause: a proof of another era does not count, and the first one of the new era came with the next watch of a reader, up to 625 ms after its listing; the others had to ask for theirs after that.

Change: a proxy that takes the restored state keeps the proof of the catalogue that it had. That catalogue's rules stay in force, and with them every withdrawal that the proof covers. A proof of an earlier era that comes from a peer still proves nothing. A listing that no stale copy may have answered proves what a watch proves.

Both new tests fail before.

--- a/damaskdyke/workspaces/freshness.py
+++ b/damaskdyke/workspaces/freshness.py
@@ -45,7 +45,8 @@
 class Proof:
     """At ``proven_at`` the store had no change after ``revision``.
 
-    It proves nothing of a later era, in which the store may have lost that state.
+    It proves nothing of a catalogue of another era, which may never have had that
+    revision.
     """
 
     proven_at: Millis
@@ -103,6 +104,25 @@
         with self._lock:
             self._add(Proof(sent_at, revision))
 
+    def record_listing(self, sent_at: Millis, revision: StoreRevision) -> None:
+        """Record a listing of this proxy that no stale copy may have answered.
+
+        It proves what a watch proves: when its first page was asked for, the store had
+        nothing after the revision of that page.
+        """
+        self.record_watch(sent_at, revision)
+
+    def record_restore(self, known: StoreRevision, revision: StoreRevision) -> None:
+        """Keep the proof of the catalogue at a revision for the restored one.
+
+        The catalogue keeps the rules in force, and with them every withdrawal that the
+        proof covers, although the restored store may lack some.
+        """
+        proof = self.find_proof(known)
+        if proof is not None:
+            with self._lock:
+                self._add(Proof(proof.proven_at, revision))
+
     def record_question(self, now: Millis) -> None:
         """Record that peers are asked for a proof now."""
         with self._lock:
--- a/tests/catalogue/test_restores.py
+++ b/tests/catalogue/test_restores.py
@@ -1,5 +1,7 @@
 import json
+import threading
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -23,6 +25,7 @@
 from damaskdyke.testbed.instance import InstanceStandIn
 from damaskdyke.testbed.processes import wait_for
 from damaskdyke.testbed.store import StoreStandIn
+from damaskdyke.workspaces.freshness import FreshnessTracker
 from tests.catalogue.test_follower import NoPeers
 from tests.catalogue.test_state import make_change, make_config
 
@@ -118,6 +121,46 @@
         self.assertIn("u3", self.state.view.instances)
 
 
+class RestoredSource:
+    """Store that was restored after the first listing, and answers no later watch."""
+
+    calls = 0
+
+    def __init__(self):
+        self.ended = threading.Event()
+
+    def list_all(self, is_stale_allowed, known):
+        revision = known or make_revision(make_era(0), 9)
+        if not is_stale_allowed:
+            revision = make_revision(make_era(1), 4)
+        return [make_change(RULES, revision, make_config(1))], revision
+
+    def watch(self, revision, wait_ms):
+        if not get_era(revision):
+            raise SourceError(SourceFailure.HISTORY_GONE, "restored")
+        self.ended.wait()
+        raise SourceError(SourceFailure.NO_ANSWER, "ended")
+
+    def close(self):
+        self.ended.set()
+
+
+class ProofTest(unittest.TestCase):
+    def test_keys_are_relied_on_as_soon_as_the_restored_store_is_listed(self):
+        # Requests with keys were refused until the next watch was answered.
+        state = CatalogueState(Clock(), StoreDecoder())
+        freshness = FreshnessTracker(5_000)
+        role = mock.Mock()
+        role.should_read.return_value = True
+        source = RestoredSource()
+        follower = Follower(
+            state, source, role, NoPeers(), Clock(), lambda: None, freshness
+        )
+        self.enterContext(follower)
+        wait_for(lambda: get_era(state.revision), "the restored state")
+        self.assertTrue(freshness.is_fresh(state.revision, Clock().now()))
+
+
 class StoreClientTest(unittest.TestCase):
     def setUp(self):
         self.store = self.enterContext(StoreStandIn())
--- a/tests/workspaces/test_freshness.py
+++ b/tests/workspaces/test_freshness.py
@@ -58,6 +58,15 @@
         self.tracker.record_watch(1_050, restored)
         self.assertTrue(self.tracker.is_fresh(restored, 1_100))
 
+    def test_requests_with_keys_were_refused_after_every_restore(self):
+        # The catalogue keeps every withdrawal that its own proof covers.
+        known, restored = (make_revision(make_era(era), 900 - era) for era in (1, 2))
+        self.tracker.record_watch(1_000, known)
+        self.tracker.record_watch(1_500, known + 1)
+        self.tracker.record_restore(known, restored)
+        self.assertEqual(self.tracker.get_age_ms(restored, 2_000), 1_000)
+        self.assertFalse(self.tracker.is_fresh(restored, 1_001 + REVOKE_MS))
+
     def test_proof_that_can_be_used_is_kept_beside_many_others(self):
         # Answers with older proofs, or for a revision still to come, replaced it.
         self.tracker.record_watch(9_000, 7)
