--- a/damaskdyke/utils/heads.py
+++ b/damaskdyke/utils/heads.py
@@ -1,8 +1,8 @@
-"""Checks of the heads of callers' requests that the HTTP library does not make.
+"""Checks of the heads of requests and replies that the HTTP library does not make.
 
 The library accepts heads from which another recipient may read another end of the
-request: what one takes for a body is a request to the other. Callers cannot be assumed
-to mean well, and such a head is refused whatever its request is.
+message: what one takes for a body is a request to the other. Callers cannot be assumed
+to mean well, nor upstreams to be well, and such a head is refused whatever follows it.
 
 Load pattern: one regular expression for each line of a head, up to 2,300 lines.
 """
@@ -45,7 +45,7 @@
 
 
 class HeadChecker:
-    """Checks the header lines of one request, in their order."""
+    """Checks the header lines of one message, in their order."""
 
     def __init__(self):
         self._has_length = False
@@ -76,7 +76,7 @@
         Parameters
         ----------
         is_persistent_version : bool
-            Whether the request has HTTP/1.1 or a later version: before that, there are
+            Whether the message has HTTP/1.1 or a later version: before that, there are
             no chunks, and the library ignores the header that states them.
 
         Raises
--- a/tests/platform/test_restores.py
+++ b/tests/platform/test_restores.py
@@ -28,6 +28,16 @@
                 f"version {version}",
             )
 
+    def add_route(self, version):
+        """Write a configuration with one more route; wait until all proxies serve it."""
+        rules = make_config(version, RULE, ORDER_RULE, ADDED_RULE)
+        self.fleet.store.put(names.RULES_KEY, rules)
+        for proxy in self.fleet.proxies:
+            wait_for(
+                lambda proxy=proxy: self.call(proxy, "/added/x")[0] == 200,
+                "the added route",
+            )
+
     def lose_changes(self):
         """Write configurations that all proxies have in force; return a copy before."""
         copy = self.fleet.store.copy()
@@ -37,13 +47,7 @@
 
     def test_route_added_after_a_restore_is_served_by_every_proxy(self):
         self.restore(self.lose_changes())
-        rules = make_config(8, RULE, ORDER_RULE, ADDED_RULE)
-        self.fleet.store.put(names.RULES_KEY, rules)
-        for proxy in self.fleet.proxies:
-            wait_for(
-                lambda proxy=proxy: self.call(proxy, "/added/x")[0] == 200,
-                "the added route",
-            )
+        self.add_route(8)
 
     def test_upstream_that_was_leaving_before_a_restore_gets_no_requests_after_it(self):
         copy = self.fleet.store.copy()
@@ -60,13 +64,7 @@
 
     def test_proxy_restarted_after_a_restore_does_not_serve_an_older_version(self):
         copy = self.lose_changes()
-        rules = make_config(8, RULE, ORDER_RULE, ADDED_RULE)
-        self.fleet.store.put(names.RULES_KEY, rules)
-        for proxy in self.fleet.proxies:
-            wait_for(
-                lambda proxy=proxy: self.call(proxy, "/added/x")[0] == 200,
-                "the added route",
-            )
+        self.add_route(8)
         self.restore(copy)
         restarted = self.fleet.proxies[-1]
         restarted.process.kill()
