--- a/tests/platform/test_restores.py
+++ b/tests/platform/test_restores.py
@@ -29,7 +29,7 @@
             )
 
     def add_route(self, version):
-        """Write a configuration with one more route; wait until all proxies serve it."""
+        """Write a configuration with one more route; wait until all serve it."""
         rules = make_config(version, RULE, ORDER_RULE, ADDED_RULE)
         self.fleet.store.put(names.RULES_KEY, rules)
         for proxy in self.fleet.proxies:
