Name the era of a revision in a field of its own between proxies

Cause: the era was sent within the number of a revision. Proxies that know of no eras took it for a number, asked the store to watch from it, got 410 and listed, seven times a second; new proxies counted them as readers.

Messages have a field for the era now, and the number is the one that the store gave out. What a proxy without eras states is of the first one.

--- a/damaskdyke/catalogue/revisions.py
+++ b/damaskdyke/catalogue/revisions.py
@@ -20,6 +20,7 @@
 REWIND_BITS = 6
 MAX_NUMBER = 2**NUMBER_BITS - 1
 MAX_RESTORES = 2**17 - 1
+MAX_ERA = (MAX_RESTORES + 1 << REWIND_BITS) - 1
 
 FIRST_ERA = StoreEra(0)
 # Revision of a state into which nothing was read.
--- a/damaskdyke/fleet/proofs.py
+++ b/damaskdyke/fleet/proofs.py
@@ -4,10 +4,12 @@
 import threading
 from typing import Protocol
 
+from damaskdyke.catalogue.revisions import StoreRevision
 from damaskdyke.core.clock import Clock, Millis
 from damaskdyke.fleet.audience import Audience
 from damaskdyke.fleet.gen.fleet.ttypes import FreshnessProof, News
 from damaskdyke.fleet.members import FleetMembers, Member
+from damaskdyke.fleet.messages import get_revision, set_revision
 from damaskdyke.workspaces.freshness import FreshnessTracker, QuestionScope
 
 # Interval at which a proxy looks whether its proof is to be renewed.
@@ -32,7 +34,7 @@
         self._members = members
         self._audience = audience
 
-    def list_asked(self, revision: int, now: Millis) -> list[Member]:
+    def list_asked(self, revision: StoreRevision, now: Millis) -> list[Member]:
         """Return the members to ask now; the question counts as asked.
 
         Normally one reader of the zone is asked. If the proof gets old all the same,
@@ -51,7 +53,7 @@
         return asked
 
     def make_answer(
-        self, asked_at: int, revision: int, now: Millis
+        self, asked_at: int, revision: StoreRevision, now: Millis
     ) -> FreshnessProof | None:
         """Return this proxy's newest proof for one that asks, ``None`` without any."""
         proof = self._freshness.find_proof(revision)
@@ -59,18 +61,20 @@
             return None
         # Both times are rounded down, so the age may be a millisecond more.
         age_ms = now - proof.proven_at + 1
-        return FreshnessProof(asked_at, age_ms, proof.revision)
+        answer = FreshnessProof(asked_at, age_ms)
+        set_revision(answer, proof.revision)
+        return answer
 
     def record_answer(self, proof: FreshnessProof) -> None:
         """Record the proof that another proxy sent in answer to a question."""
         asked_at = Millis(proof.asked_at)
-        self._freshness.record_answer(asked_at, proof.age_ms, proof.revision)
+        self._freshness.record_answer(asked_at, proof.age_ms, get_revision(proof))
 
 
 class ProofChannel(Protocol):
     """What sends the questions and the answers; `GossipChannel` does."""
 
-    def get_revision(self) -> int:
+    def get_revision(self) -> StoreRevision:
         """Return the revision of this proxy's catalogue."""
 
     def make_datagram(self) -> News:
