--- a/damaskdyke/fleet/proofs.py
+++ b/damaskdyke/fleet/proofs.py
@@ -63,12 +63,15 @@
         age_ms = now - proof.proven_at + 1
         answer = FreshnessProof(asked_at, age_ms)
         set_revision(answer, proof.revision)
+        answer.rules_version = proof.rules_version or None
         return answer
 
     def record_answer(self, proof: FreshnessProof) -> None:
         """Record the proof that another proxy sent in answer to a question."""
         asked_at = Millis(proof.asked_at)
-        self._freshness.record_answer(asked_at, proof.age_ms, get_revision(proof))
+        self._freshness.record_answer(
+            asked_at, proof.age_ms, get_revision(proof), proof.rules_version or 0
+        )
 
 
 class ProofChannel(Protocol):
@@ -77,6 +80,9 @@
     def get_revision(self) -> StoreRevision:
         """Return the revision of this proxy's catalogue."""
 
+    def get_rules_version(self) -> int:
+        """Return the version of the rules in this proxy's catalogue."""
+
     def make_datagram(self) -> News:
         """Return a datagram without content."""
 
@@ -125,8 +131,11 @@
         """Answer a question, if this proxy has a proof, and record an answer."""
         if datagram.proof_asked_at is not None:
             self._answer(sender, datagram.proof_asked_at)
-        if datagram.proof is not None:
-            self._exchange.record_answer(datagram.proof)
+        proof = datagram.proof
+        if proof is None:
+            return
+        if (proof.rules_version or 0) <= self._channel.get_rules_version():
+            self._exchange.record_answer(proof)
 
     def _answer(self, ip: str, asked_at: int) -> None:
         proof = self._exchange.make_answer(
--- a/damaskdyke/workspaces/freshness.py
+++ b/damaskdyke/workspaces/freshness.py
@@ -46,18 +46,23 @@
     """At ``proven_at`` the store had no change after ``revision``.
 
     It proves nothing of a catalogue of another era, which may never have had that
-    revision.
+    revision, or whose rules are of a version below ``rules_version``: a restored store
+    may have lost it. It is 0 for rules that the store has.
     """
 
     proven_at: Millis
     revision: StoreRevision
+    rules_version: int = 0
 
 
 def is_as_good(one: Proof, other: Proof) -> bool:
-    """Return whether a proof is not older than another and needs no later revision."""
-    if get_era(one.revision) != get_era(other.revision):
-        return False
-    return one.proven_at >= other.proven_at and one.revision <= other.revision
+    """Return whether a proof is not older than another and needs no later catalogue."""
+    return (
+        get_era(one.revision) == get_era(other.revision)
+        and one.proven_at >= other.proven_at
+        and one.revision <= other.revision
+        and one.rules_version <= other.rules_version
+    )
 
 
 class FreshnessTracker:
@@ -73,7 +78,7 @@
     def __init__(self, max_age_ms: int | None):
         self._lock = threading.Lock()
         self._max_age_ms = max_age_ms
-        # None of them is both older and for a later revision than another.
+        # None of them is older than another and for a later catalogue.
         self._proofs: list[Proof] = []
         # Times of questions that were asked and may still be answered.
         self._questions: deque[Millis] = deque(maxlen=MAX_QUESTIONS)
@@ -95,24 +100,21 @@
 
     # Sources of proofs.
 
-    def record_watch(self, sent_at: Millis, revision: StoreRevision) -> None:
-        """Record the answer of the store to a watch of this proxy.
+    def record_watch(
+        self, sent_at: Millis, revision: StoreRevision, rules_version: int = 0
+    ) -> None:
+        """Record the answer of the store to a watch, or to a listing, of this proxy.
 
         The answer may have been on its way for any time, so it proves what held when
-        the watch was sent.
+        the watch was sent, or when the first page of the listing was asked for. No
+        stale copy may have answered.
         """
         with self._lock:
-            self._add(Proof(sent_at, revision))
-
-    def record_listing(self, sent_at: Millis, revision: StoreRevision) -> None:
-        """Record a listing of this proxy that no stale copy may have answered.
+            self._add(Proof(sent_at, revision, rules_version))
 
-        It proves what a watch proves: when its first page was asked for, the store had
-        nothing after the revision of that page.
-        """
-        self.record_watch(sent_at, revision)
-
-    def record_restore(self, known: StoreRevision, revision: StoreRevision) -> None:
+    def record_restore(
+        self, known: StoreRevision, revision: StoreRevision, rules_version: int
+    ) -> None:
         """Keep the proof of the catalogue at a revision for the restored one.
 
         The catalogue keeps the rules in force, and with them every withdrawal that the
@@ -121,7 +123,7 @@
         proof = self.find_proof(known)
         if proof is not None:
             with self._lock:
-                self._add(Proof(proof.proven_at, revision))
+                self._add(Proof(proof.proven_at, revision, rules_version))
 
     def record_question(self, now: Millis) -> None:
         """Record that peers are asked for a proof now."""
@@ -129,7 +131,11 @@
             self._questions.append(now)
 
     def record_answer(
-        self, asked_at: Millis, age_ms: int, revision: StoreRevision
+        self,
+        asked_at: Millis,
+        age_ms: int,
+        revision: StoreRevision,
+        rules_version: int = 0,
     ) -> None:
         """Record a peer's proof in answer to a question of this proxy.
 
@@ -139,7 +145,8 @@
         """
         with self._lock:
             if asked_at in self._questions:
-                self._add(Proof(Millis(asked_at - age_ms), revision))
+                proven_at = Millis(asked_at - age_ms)
+                self._add(Proof(proven_at, revision, rules_version))
 
     def _add(self, proof: Proof) -> None:
         """Keep a proof unless another is as good, and drop those that it replaces."""
--- a/tests/catalogue/test_restores.py
+++ b/tests/catalogue/test_restores.py
@@ -145,6 +145,7 @@
         self.enterContext(follower)
         wait_for(lambda: get_era(state.revision), "the restored state")
         self.assertTrue(freshness.is_fresh(state.revision, Clock().now()))
+        self.assertEqual(freshness.find_proof(state.revision).rules_version, 1)
 
 
 class StoreClientTest(unittest.TestCase):
--- a/tests/workspaces/test_freshness.py
+++ b/tests/workspaces/test_freshness.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import threading
 import unittest
 from unittest import mock
 
@@ -16,8 +17,12 @@
 from damaskdyke.fleet.audience import Audience
 from damaskdyke.fleet.gen.fleet.ttypes import FreshnessProof, News
 from damaskdyke.fleet.members import FleetMembers
-from damaskdyke.fleet.messages import DatagramError, decode_datagram, encode_datagram
-from damaskdyke.fleet.proofs import ProofExchange
+from damaskdyke.fleet.messages import (
+    DatagramError,
+    decode_datagram,
+    encode_datagram,
+)
+from damaskdyke.fleet.proofs import ProofExchange, ProofMessenger
 from damaskdyke.platform.machine import decode_bounds
 from damaskdyke.platform.store import Page, StoreClient
 from damaskdyke.workspaces.freshness import FreshnessTracker, QuestionScope
@@ -63,7 +68,7 @@
         known, restored = (make_revision(make_era(era), 900 - era) for era in (1, 2))
         self.tracker.record_watch(1_000, known)
         self.tracker.record_watch(1_500, known + 1)
-        self.tracker.record_restore(known, restored)
+        self.tracker.record_restore(known, restored, 5)
         self.assertEqual(self.tracker.get_age_ms(restored, 2_000), 1_000)
         self.assertFalse(self.tracker.is_fresh(restored, 1_001 + REVOKE_MS))
 
@@ -184,6 +189,39 @@
         self.assertEqual(zones, {"a", "b"})
 
 
+class CarriedRulesTest(unittest.TestCase):
+    """The store was restored, and lost rules that withdrew a key."""
+
+    def setUp(self):
+        self.known = make_revision(make_era(0), 7)
+        self.restored = make_revision(make_era(1), 3)
+        self.peer = Proxy("10.0.0.1")
+        self.peer.tracker.record_watch(self.peer.clock.now(), self.known)
+        self.peer.tracker.record_restore(self.known, self.restored, 6)
+
+    def ask_peer(self, rules_version):
+        """Return whether a proxy whose rules have a version relies on the peer."""
+        proxy = Proxy("10.0.0.2")
+        channel = mock.Mock()
+        channel.get_rules_version.return_value = rules_version
+        messenger = ProofMessenger(
+            proxy.exchange, channel, threading.Lock(), proxy.clock
+        )
+        now = proxy.clock.now()
+        proxy.tracker.record_question(now)
+        proof = self.peer.exchange.make_answer(now, self.restored, now)
+        messenger.receive(News(proof=proof), "10.0.0.1")
+        return proxy.is_fresh(self.restored)
+
+    def test_key_withdrawn_in_rules_that_the_store_lost_was_served_on_a_proof(self):
+        self.assertFalse(self.ask_peer(5))
+        self.assertTrue(self.ask_peer(6))
+
+    def test_proof_since_the_rules_were_written_again_needs_no_version(self):
+        self.peer.tracker.record_watch(self.peer.clock.now(), self.restored)
+        self.assertTrue(self.ask_peer(5))
+
+
 class MessageTest(unittest.TestCase):
     def test_incomplete_proof_makes_a_datagram_invalid(self):
         for proof in (FreshnessProof(1, 2), FreshnessProof(1, -2, 3)):
