Count no proxy as a reader that knows of no eras

Cause: a proxy leaves reading to others of its zone that say that they read. Old ones say so, and are answered with 410 for good.

Every message states the era now, so that one without it is of a proxy that knows of none; it counts as no reader, and new proxies elect two readers of their own in each zone.

--- a/tests/fleet/test_eras.py
+++ b/tests/fleet/test_eras.py
@@ -1,5 +1,6 @@
 """Eras of the store in the messages between proxies."""
 
+import socket
 import unittest
 
 from damaskdyke.catalogue.revisions import get_number, make_era, make_revision
@@ -19,7 +20,7 @@
 from damaskdyke.fleet.relay import RelayHandler, decode_part
 from damaskdyke.platform.documents import StoreDecoder
 from damaskdyke.testbed.processes import wait_for
-from tests.fleet.test_gossip import FleetCase
+from tests.fleet.test_gossip import GOSSIP_PORT, FleetCase
 
 ERA = make_era(3)
 RESTORED = make_revision(ERA, 7)
@@ -90,6 +91,24 @@
         fleet[0].get_revision = lambda: RESTORED
         wait_for(is_read, "the reader of the same era")
 
+    def test_proxies_relied_on_readers_that_do_not_notice_a_restore(self):
+        gossip = self.start(1, "a")
+        (members,) = self.member_lists
+        heard = []
+        gossip.on_revision = lambda *args: heard.append(args)
+        sender = self.enterContext(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+        datagram = News(f"{self.network}.2", "a", 1, 1, 900, is_reading=True)
+        for era in (None, 0):
+            datagram.era, datagram.sequence = era, datagram.sequence + 1
+            heard.clear()
+            sender.sendto(encode_datagram(datagram), (f"{self.network}.1", GOSSIP_PORT))
+            wait_for(lambda: heard, "the revision")
+            is_known = era is not None
+            with self.subTest(era=era):
+                self.assertEqual(heard, [(datagram.ip, 900, is_known, True)])
+                readers = members.list_readers(Clock().now())
+                self.assertEqual(bool(readers), is_known)
+
     def test_changes_that_are_pushed_keep_their_era(self):
         fleet = self.start_fleet("aa")
         pushed = []
