--- a/review/8/case.py
+++ b/review/8/case.py
@@ -7,6 +7,8 @@
 
 from stands import Client, SmallDeployment, finish, has_trouble, make_route, run_case
 
+# One proxy a round.
+ROUNDS = 4
 CLIENTS = 16
 SERVERS = 6
 # Largest answer to a lookup on the sites in force (demands/haugland-utlegg-grown.toml).
@@ -24,7 +26,7 @@
 
     def __init__(self, number: int, host: str, record):
         kind = "order" if number % 2 else "lookup"
-        self.name = f"{kind}-{number}"
+        self.name = f"{host}-{kind}-{number}"
         self._kind = kind
         self._record = record
         self._client = Client(host, RECEIVE_BUFFER)
@@ -59,44 +61,48 @@
         self._client.close()
 
 
+def play_round(deployment, proxy, record) -> list[str]:
+    """Stop a proxy while the first requests are at work; return those without answer."""
+    exchanges = [Exchange(n, proxy.host, record) for n in range(CLIENTS)]
+    for exchange in exchanges:
+        exchange.send_first()
+    readers = [threading.Thread(target=item.read_first) for item in exchanges]
+    for reader in readers:
+        reader.start()
+    time.sleep(STOP_SECONDS)
+    if has_trouble():
+        record.write(f"SIGTERM to the proxy at {proxy.host}")
+        proxy.process.send(signal.SIGTERM)
+    time.sleep(FURTHER_SECONDS - STOP_SECONDS)
+    for exchange in exchanges:
+        exchange.send_further()
+    for reader in readers:
+        reader.join(15)
+    for exchange in exchanges:
+        exchange.close()
+    runs = {item.name: deployment.count_runs(item.name) for item in exchanges}
+    record.write(f"runs of the first requests: {runs}")
+    # What was not passed on, or ran no server, does not count.
+    return [x.name for x in exchanges if not x.is_whole and runs[x.name]]
+
+
 def play(record) -> int:
-    """Stop the proxy while the first requests are at work; count lost answers."""
+    """Stop one proxy after the other and check that no answer was lost."""
     routes = [
         make_route("lookup", "/lookup/", "idempotent", "3s"),
         make_route("order", "/order/", "non_idempotent", "4s"),
     ]
-    with SmallDeployment(1, SERVERS, routes) as deployment:
+    with SmallDeployment(ROUNDS, SERVERS, routes) as deployment:
         for server in deployment.upstreams:
             server.delay_ms = WORK_MS
             server.reply_body = b"a" * ANSWER_BYTES
         deployment.wait_ready()
-        (proxy,) = deployment.proxies
-        exchanges = [Exchange(n, proxy.host, record) for n in range(CLIENTS)]
-        for exchange in exchanges:
-            exchange.send_first()
-        readers = [threading.Thread(target=item.read_first) for item in exchanges]
-        for reader in readers:
-            reader.start()
-        time.sleep(STOP_SECONDS)
-        if has_trouble():
-            record.write("SIGTERM to the proxy")
-            proxy.process.send(signal.SIGTERM)
-        time.sleep(FURTHER_SECONDS - STOP_SECONDS)
-        for exchange in exchanges:
-            exchange.send_further()
-        for reader in readers:
-            reader.join(15)
-        for exchange in exchanges:
-            exchange.close()
-        runs = {item.name: deployment.count_runs(item.name) for item in exchanges}
-        record.write(f"runs of the first requests: {runs}")
-        # What was not passed on, or ran no server, does not count.
-        lost = [x.name for x in exchanges if not x.is_whole and runs[x.name]]
+        lost = [play_round(deployment, item, record) for item in deployment.proxies]
     return finish(
         record,
-        bool(lost),
-        f"of {CLIENTS} first requests that had run, without a whole answer: "
-        f"{len(lost)} {' '.join(lost)}",
+        any(lost),
+        f"of {CLIENTS} first requests that had run, without a whole answer, by round: "
+        f"{[len(names) for names in lost]}",
     )
 
 
--- a/review/common-2/stands.py
+++ b/review/common-2/stands.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import signal
 import socket
 import sys
 import threading
@@ -14,6 +15,7 @@
 
 from damaskdyke.testbed import deployment
 from damaskdyke.testbed.instance import InstanceStandIn
+from damaskdyke.testbed.store import StoreStandIn
 
 REQUEST_ID = "X-Damaskdyke-Request-Id"
 DEADLINE = "X-Damaskdyke-Deadline-Ms"
@@ -68,6 +70,32 @@
             self._file.flush()
 
 
+class CuttableStore(StoreStandIn):
+    """Store whose waiting watches can be cut."""
+
+    def __init__(self, host: str = "127.0.0.1"):
+        super().__init__(host)
+        self._cuts = 0
+        # A cut is no error of this program.
+        self._server.handle_error = lambda *_: None
+
+    def cut_watches(self) -> None:
+        """Close the connections of the watches that wait, without an answer."""
+        with self._changed:
+            self._cuts += 1
+            self._changed.notify_all()
+
+    def _watch(self, after: int, wait_ms: int) -> tuple[int, dict]:
+        with self._changed:
+            cuts = self._cuts
+            self._changed.wait_for(
+                lambda: self._revision > after or self._cuts != cuts, wait_ms / 1_000
+            )
+            if self._cuts != cuts:
+                raise ConnectionAbortedError
+            return super()._watch(after, 0)
+
+
 class SmallDeployment(deployment.Deployment):
     """Deployment with the routes, limits and bounds of a small site.
 
@@ -87,6 +115,7 @@
         self._routes = routes
         # The stand-in deployment takes the class of its servers from its module.
         deployment.InstanceStandIn = server
+        deployment.StoreStandIn = CuttableStore
         super().__init__(proxies, upstreams, LIMITS, BOUNDS)
 
     def make_first_config(self) -> dict:
@@ -182,6 +211,64 @@
         self._buffer += data
 
 
+class OrderSender:
+    """Threads that send orders to proxies on kept connections until they end.
+
+    Parameters
+    ----------
+    proxies : list
+        The proxies, by name.
+    threads : int
+        Threads for each proxy.
+    """
+
+    def __init__(self, proxies: list, threads: int):
+        self._end = threading.Event()
+        self._lock = threading.Lock()
+        # Host of the proxy and the status or the error, by request id.
+        self.answers: dict[str, tuple[str, str]] = {}
+        self._threads = [
+            threading.Thread(target=self._send, args=(proxy.host, number), daemon=True)
+            for proxy in proxies
+            for number in range(threads)
+        ]
+
+    def __enter__(self) -> "OrderSender":
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._end.set()
+        for thread in self._threads:
+            thread.join(10)
+
+    def _send(self, host: str, number: int) -> None:
+        count, client = 0, None
+        while not self._end.is_set():
+            count += 1
+            name = f"{host}-{number}-{count}"
+            try:
+                client = client or Client(host)
+                client.send("POST", "/order/x", name, name.encode(), 2_000)
+                status, headers = client.read_head()
+                client.read_body(int(headers.get("content-length", 0)))
+                answer = str(status)
+                if headers.get("connection", "").lower() == "close":
+                    client.close()
+                    client = None
+                if status == 503:
+                    self._end.wait(float(headers.get("retry-after", 0.1)))
+            except OSError as error:
+                answer = repr(error)
+                if client is not None:
+                    client.close()
+                client = None
+                self._end.wait(0.1)
+            with self._lock:
+                self.answers[name] = (host, answer)
+
+
 def finish(record: Record, is_broken: bool, text: str) -> int:
     """Write the verdict and return the exit code."""
     record.write(f"{'BROKEN' if is_broken else 'HELD'}: {text}")
@@ -192,6 +279,8 @@
 def run_case(play, folder: Path) -> None:
     """Play a case and exit with its code; 2 if it could not run."""
     record = Record(folder)
+    # The end of the time limit also ends the processes that the case started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_POSSIBLE))
     try:
         code = play(record)
     except Exception as error:
