Let callers receive the last answer before their connection is closed

Cause: the last answer of a connection was followed by close(). The operating system then resets a connection that holds unread bytes, or that gets bytes afterwards, and drops what it has yet to send. Ruled out: the process ending too early, and failed writes.

The proxy now ends the sending direction and drops what still arrives until the caller closes, within time limits; one thread does so for all connections. That replaces the reading of input after refusals only, which held a thread for each.

--- a/damaskdyke/gateway/callers.py
+++ b/damaskdyke/gateway/callers.py
@@ -54,9 +54,6 @@
 FREE_HEAD_LINES = 100
 HEAD_STEP_LINES = 128
 HEAD_LINE_BYTES = 512
-# Limits on what is read and dropped after a refusal.
-DISCARD_MS = 1_000
-MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 
 
 class CallerDisconnected(Exception):
@@ -302,13 +299,12 @@
         self._refuse(BAD_HEAD)
 
     def _refuse(self, answer: bytes) -> None:
-        """Write an answer as the last one, and drop what the caller still sends."""
+        """Write an answer as the last one; what follows the request is not read."""
         self._has_answer = True
         self.close_connection = True
         if self.wait_turn():
             self.conn.pipeline.close_after(self.number)
             self.conn.wfile.write(answer)
-            self.conn.discard_input()
 
     def send_continue(self) -> None:
         """Ask for the body if the caller waits for that."""
@@ -371,6 +367,8 @@
         self.may_start_reader: Callable[[], bool] = lambda: True
         self.on_reader_refused: Callable[[], object] = lambda: None
         self.on_close: Callable[[CallerConnection], object] = lambda _: None
+        # Whether the last answer was written, and the caller has yet to close.
+        self._is_closing = False
         # Since when the caller has sent no whole request, ``None`` while one is
         # handled; and whether part of one is there.
         self.quiet_since: Millis | None = clock.now()
@@ -456,6 +454,9 @@
 
     def has_request(self) -> bool:
         """Return whether a request, or a part of one, is there."""
+        if self._is_closing:
+            # Its last answer may still be on its way.
+            return True
         return self.quiet_since is None or self.has_partial_request
 
     def evict_if_quiet(self) -> bool:
@@ -476,19 +477,6 @@
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_RDWR)
 
-    def discard_input(self) -> None:
-        """Drop what the caller still sends after its last answer, for a short time.
-
-        The system would otherwise reset the connection, and the caller might lose the
-        answer.
-        """
-        buffer = bytearray(WRITE_BYTES)
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_WR)
-            self._raw_reader.start_message(DISCARD_MS, MAX_DISCARDED_BYTES)
-            while self._raw_reader.readinto(buffer):
-                pass
-
     def end_reading(self) -> None:
         """Give the reading role up, as the present request was read whole."""
         with self._lock:
@@ -532,12 +520,24 @@
         return not self.pipeline.is_read
 
     def leave(self) -> None:
-        """End one thread's work on the connection; the last one closes it."""
+        """End one thread's work on the connection; the last one closes it.
+
+        The caller may not have received the last answer yet, and may go on sending.
+        """
         with self._lock:
             self._threads -= 1
-            is_last = not self._threads
-        if is_last:
-            try:
-                self.close()
-            finally:
-                self.on_close(self)
+            if self._threads:
+                return
+            self.quiet_since = self._clock.now()
+            self.has_partial_request = False
+            self._is_closing = True
+        if self.pipeline.is_caller_gone:
+            self._finish()
+        else:
+            self.server.closer.close(self.socket, self._finish)
+
+    def _finish(self) -> None:
+        try:
+            self.close()
+        finally:
+            self.on_close(self)
