Let callers receive the refusal of a connection beyond the limit

A caller whose connection found no place could lose its refusal, which tells it that nothing has run and when to come back: the connection was closed over its unread request, so that the operating system reset it.

Refused connections now linger like others, up to 32 of them, as they are beyond the limit on open ones; further ones are closed at once.

--- a/damaskdyke/gateway/crowding.py
+++ b/damaskdyke/gateway/crowding.py
@@ -19,9 +19,9 @@
 # Share of the descriptors that callers' connections may take; the rest is for
 # connections to upstreams, peers and the store.
 CALLER_SHARE = 0.5
-# Descriptors for listeners, the store, peers, readiness checks and metrics, and their
-# limit as a share of all.
-OTHER_DESCRIPTORS = 64
+# Descriptors for listeners, the store, peers, readiness checks, metrics and refused
+# connections, and their limit as a share of all.
+OTHER_DESCRIPTORS = 96
 MAX_OTHER_SHARE = 0.25
 # Assumed where neither the settings nor the system state a limit.
 DEFAULT_MAX_FDS = 65_536
--- a/tests/gateway/test_closing.py
+++ b/tests/gateway/test_closing.py
@@ -4,6 +4,8 @@
 import time
 from unittest import mock
 
+from damaskdyke.gateway import server
+from damaskdyke.gateway.callers import REFUSAL
 from damaskdyke.testbed.processes import wait_for
 from tests.gateway.test_pipelining import PipeliningCase, make_request, read_answers
 
@@ -84,3 +86,28 @@
             connection.close()
             wait_for(lambda: not self.server.connections_table.count(), "the end")
         close.assert_not_called()
+
+
+class RefusalTest(PipeliningCase):
+    """A connection beyond the limit was reset over its unread request."""
+
+    def test_refused_caller_gets_the_whole_refusal_and_an_ordinary_end(self):
+        self.server.connections_table.max_connections = 0
+        connection = self.connect()
+        connection.sendall(make_request("q0"))
+        wait_for(lambda: self.server.connections_table.refused_count, "the refusal")
+        connection.sendall(make_request("q1"))
+        found = b""
+        while data := connection.recv(1_024):
+            found += data
+        self.assertEqual(found, REFUSAL)
+
+    def test_refused_connections_that_stay_open_are_limited(self):
+        self.enterContext(mock.patch.object(server, "MAX_REFUSED_LINGERING", 2))
+        self.server.connections_table.max_connections = 0
+        opened = [self.connect() for _ in range(5)]
+        table = self.server.connections_table
+        wait_for(lambda: table.refused_count == 5, "the refusals")
+        for connection in opened:
+            self.assertEqual(connection.recv(1_024), REFUSAL)
+        self.assertLessEqual(self.server.closer.count(), 2)
