--- a/damaskdyke/front/server.py
+++ b/damaskdyke/front/server.py
@@ -1,14 +1,19 @@
 """Front component: the application on CherryPy's HTTP server, cheroot."""
 
+import contextlib
 import logging
 import threading
+from typing import Any
 
+from cheroot.server import HTTPConnection
 from cheroot.wsgi import Gateway_10, Server
 
 from damaskdyke.conf.schemas import MAX_BODY_BYTES
+from damaskdyke.core.clock import Clock
 from damaskdyke.core.kernel import Component, Kernel, components
 from damaskdyke.front.application import Application
 from damaskdyke.front.lifecycle import Lifecycle
+from damaskdyke.utils.closing import LingeringCloser
 from damaskdyke.utils.logs import log_event
 
 logger = logging.getLogger("damaskdyke.http")
@@ -37,8 +42,30 @@
     return CountingGateway
 
 
+class FrontConnection(HTTPConnection):
+    """Connection that is closed once its caller can have received the last answer."""
+
+    def close(self) -> None:
+        """End the sending direction; the closer closes the rest later."""
+        self.server.closer.close(self.socket, super().close)
+
+
 class FrontServer(Server):
-    """HTTP server that writes its own messages to this process's log."""
+    """HTTP server that writes its own messages to this process's log.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    *args, **kwargs
+        As the library's server takes them.
+    """
+
+    ConnectionClass = FrontConnection
+
+    def __init__(self, clock: Clock, *args: Any, **kwargs: Any):
+        super().__init__(*args, **kwargs)
+        self.closer = LingeringCloser(clock)
 
     def error_log(self, msg="", level=logging.INFO, traceback=False) -> None:
         """Log a message of the server at level debug, whatever its own level."""
@@ -53,6 +80,7 @@
         super().__init__(kernel)
         host, port = kernel.settings.address.rsplit(":", 1)
         self._server = FrontServer(
+            kernel.clock,
             (host, int(port)),
             Application(kernel),
             numthreads=kernel.settings.threads,
@@ -65,10 +93,12 @@
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.max_request_body_size = MAX_BODY_BYTES
         self._server.nodelay = True
+        self._exit_stack = contextlib.ExitStack()
         self._thread: threading.Thread | None = None
 
     def start(self) -> None:
         """Open the listener and serve requests."""
+        self._exit_stack.enter_context(self._server.closer)
         self._server.prepare()
         self._thread = threading.Thread(target=self._server.serve, name="front")
         self._thread.daemon = True
@@ -77,3 +107,5 @@
     def stop(self) -> None:
         """Close the listener, and wait a limited time for the requests in flight."""
         self._server.stop()
+        self._server.closer.wait_closed()
+        self._exit_stack.close()
--- a/damaskdyke/utils/closing.py
+++ b/damaskdyke/utils/closing.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from damaskdyke.core.clock import Clock, Millis
+from damaskdyke.core.clock import Clock, Deadline, Millis
 from damaskdyke.utils.logs import log_event
 from damaskdyke.utils.polling import wait_readable
 from damaskdyke.utils.threads import spawn_restarting
@@ -31,6 +31,8 @@
 MAX_LINGER_MS = 10_000
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 CHECK_INTERVAL_MS = 200
+# Interval at which a caller of `LingeringCloser.wait_closed` looks again.
+POLL_INTERVAL_MS = 20
 # Wait of the thread without any connection; an added one ends it.
 IDLE_WAIT_MS = 60_000
 READ_BYTES = 64 * 1024
@@ -98,6 +100,12 @@
         with self._lock:
             return len(self._connections)
 
+    def wait_closed(self) -> None:
+        """Wait until no connection is left, for ``ACKNOWLEDGED_LINGER_MS`` at most."""
+        deadline = Deadline(self._clock, ACKNOWLEDGED_LINGER_MS)
+        while self.count() and not deadline.is_past():
+            self._clock.sleep(POLL_INTERVAL_MS)
+
     def close(
         self, connection: socket.socket, release: Callable[[], object] | None = None
     ) -> None:
