End the hold of a lapsed entry at one moment in the whole fleet

After an outage of the store, entries that vanish are used for another 1.9 s, as their upstreams may have been unable to renew them. Each proxy counted that time from the moment it heard of the removal: a server that left was used for the hold and every delay before it, and a peer that pulled the change later began another hold. On top, the outage ends for a reader at its first answer, up to 3.2 s after the store returned. Together that is longer than the operators' bound on the use of upstreams that left.

The hold now ends 1.9 s after the reader heard the store again, and never later than the bound allows if the store returned when the last failed read was sent. Messages between proxies state the time that remains; proxies of earlier versions ignore the field.

--- a/tests/fleet/test_eras.py
+++ b/tests/fleet/test_eras.py
@@ -37,13 +37,13 @@
     def test_revision_of_a_restored_store_arrives_whole(self):
         datagram = News("10.0.0.1", "a", 1, 1, proof=FreshnessProof(1, 2))
         change = Change("k", RESTORED, b"v")
-        datagram.changes = [encode_change(change)]
+        datagram.changes = [encode_change(change, 0)]
         set_revision(datagram, RESTORED)
         set_revision(datagram.proof, RESTORED)
         received = decode_datagram(encode_datagram(datagram))
         self.assertEqual(get_revision(received), RESTORED)
         self.assertEqual(get_revision(received.proof), RESTORED)
-        self.assertEqual(decode_view_change(received.changes[0]), change)
+        self.assertEqual(decode_view_change(received.changes[0], 0), change)
 
     def test_proof_or_change_of_an_odd_era_makes_a_datagram_invalid(self):
         for era in (-1, 2**23):
@@ -60,17 +60,17 @@
     """Proxies of the version before use the number of a revision, and know no era."""
 
     def test_proxies_of_both_versions_watched_from_revisions_that_no_store_has(self):
-        handler = RelayHandler(make_state(RESTORED))
+        handler = RelayHandler(make_state(RESTORED), Clock())
         part = handler.fetch_view(3, None)
         self.assertTrue(part.is_whole)
         self.assertEqual(part.revision, get_number(RESTORED))
         self.assertEqual(part.changes[0].revision, get_number(RESTORED))
-        self.assertEqual(decode_part(part)[2], RESTORED)
+        self.assertEqual(decode_part(part, 0)[2], RESTORED)
 
     def test_proxy_with_the_same_era_is_sent_only_what_it_lacks(self):
         state = make_state(RESTORED)
         state.apply([Change("l", RESTORED + 1, b"v")], RESTORED + 1)
-        part = RelayHandler(state).fetch_view(get_number(RESTORED), ERA)
+        part = RelayHandler(state, Clock()).fetch_view(get_number(RESTORED), ERA)
         self.assertFalse(part.is_whole)
         self.assertEqual([change.key for change in part.changes], ["l"])
 
