--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -1,4 +1,6 @@
+import threading
 import unittest
+from concurrent.futures import ThreadPoolExecutor, wait
 
 from damaskdyke.fleet.members import (
     HUB_TIMEOUT_MS,
@@ -9,6 +11,7 @@
     NAMED_PER_REMOTE_ZONE,
     ZONE_MEMBER_TIMEOUT_MS,
     FleetMembers,
+    Member,
 )
 
 
@@ -25,6 +28,33 @@
         lost = self.members.expire(ZONE_MEMBER_TIMEOUT_MS + 1)
         self.assertEqual([member.ip for member in lost], ["10.0.0.2"])
 
+    def test_zone_is_whole_while_another_thread_lists_it(self):
+        """A proxy that saw a part of its zone took itself for the first reader."""
+        is_listing, may_go_on = threading.Event(), threading.Event()
+
+        class PausingMember(Member):
+            @property
+            def zone(self):
+                is_listing.set()
+                may_go_on.wait(1)
+                return "a"
+
+            @zone.setter
+            def zone(self, value):
+                pass
+
+        for number in range(2, 6):
+            self.record_message(f"10.0.0.{number}")
+        self.members._add(PausingMember("10.0.0.9", "a", 1, 0))
+        with ThreadPoolExecutor(2) as pool:
+            pool.submit(self.members.list_zone)
+            self.assertTrue(is_listing.wait(5))
+            listed = pool.submit(self.members.list_zone)
+            # The second one answers now if it does not wait for the first.
+            wait([listed], 0.2)
+            may_go_on.set()
+            self.assertEqual(len(listed.result()), 5)
+
     def test_restart_of_a_member_is_reported(self):
         self.assertFalse(self.record_message("10.0.0.2"))
         self.assertFalse(self.record_message("10.0.0.2"))
