--- a/damaskdyke/utils/closing.py
+++ b/damaskdyke/utils/closing.py
@@ -27,7 +27,7 @@
 # Time for the peer to close a connection once it has acknowledged all bytes.
 ACKNOWLEDGED_LINGER_MS = 1_000
 # The same while bytes are unacknowledged. A peer that does not respond at all is
-# noticed sooner, see `enable_dead_peer_detection`.
+# noticed sooner, see `damaskdyke.utils.reachability`.
 MAX_LINGER_MS = 10_000
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 CHECK_INTERVAL_MS = 200
