--- a/tests/gateway/test_slow_peers.py
+++ b/tests/gateway/test_slow_peers.py
@@ -40,6 +40,10 @@
     def test_answer_that_fits_into_the_buffers_is_whole(self):
         self.check(SHORT_BYTES)
 
+    def test_answer_that_does_not_fit_into_the_buffers_is_whole(self):
+        self.server.get_header_timeout_ms = lambda: MAX_UNACKNOWLEDGED_MS
+        self.check(LONG_BYTES)
+
 
 class SlowUpstreamTest(GatewayCase):
     """Uploads to servers that paused while they read were broken off."""
