--- a/damaskdyke/fleet/timing.py
+++ b/damaskdyke/fleet/timing.py
@@ -3,7 +3,7 @@
 A change reaches the proxies of a zone through its readers. If these fail as it is made,
 the time until the zone is without it is the sum of the time-out of the readers, of the
 delay of those that take over, and of their first read. All of them are parts of the
-operators' bounds, so that the sum keeps the bounds whatever these are.
+operators' bounds, so that the sum keeps every bound of at least `MIN_SPREAD_MS`.
 """
 
 from dataclasses import dataclass
