Keep the times after which an unreachable peer is noticed

Without TCP_USER_TIMEOUT an idle connection to an unreachable peer ended after 3 s instead of 2 s, as that option had cut the two keep-alive probes to one, and one with bytes under way after 2.2 to 2.7 s instead of 2 s.

--- a/damaskdyke/utils/reachability.py
+++ b/damaskdyke/utils/reachability.py
@@ -22,6 +22,9 @@
 logger = logging.getLogger("damaskdyke.sockets")
 
 CHECK_INTERVAL_MS = 250
+# Time for which a connection may be found unanswered. It is up to an interval older
+# when it is found first.
+MAX_UNANSWERED_MS = MAX_UNACKNOWLEDGED_MS - CHECK_INTERVAL_MS
 # First fields of the ``tcp_info`` structure of Linux, from ``tcpi_state`` to
 # ``tcpi_unacked``.
 INFORMATION_FORMAT = struct.Struct("=8B5I")
@@ -31,7 +34,7 @@
 
 
 class ReachabilityMonitor:
-    """Shuts connections down whose peers do not answer for ``MAX_UNACKNOWLEDGED_MS``.
+    """Shuts connections down whose peers have not answered for about 2 s.
 
     It needs no notice of their end: it forgets those that are closed.
 
@@ -94,7 +97,7 @@
                 # It is closed.
                 is_unanswered = None
             if is_unanswered and since is not None:
-                if now - since < MAX_UNACKNOWLEDGED_MS:
+                if now - since < MAX_UNANSWERED_MS:
                     continue
                 self._end(connection, now - since)
                 is_unanswered = None
