Close the wake sockets of a lingering closer with it

A proxy has one closer for its life, and lost nothing.

The thread of the closer closes the sockets at its end, and connections that are given to it later are closed at once.

The new test failed before, as the sockets stayed open.

--- a/damaskdyke/utils/closing.py
+++ b/damaskdyke/utils/closing.py
@@ -92,7 +92,8 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        self._is_stopping = True
+        with self._lock:
+            self._is_stopping = True
         self._wake()
 
     def count(self) -> int:
@@ -130,12 +131,17 @@
             self._release(item)
             return
         with self._lock:
-            self._connections.append(item)
-        self._wake()
+            is_stopped = self._is_stopping
+            if not is_stopped:
+                self._connections.append(item)
+        if is_stopped:
+            self._release(item)
+        else:
+            self._wake()
 
     def _wake(self) -> None:
-        # A full buffer wakes the thread too.
-        with contextlib.suppress(BlockingIOError):
+        # A full buffer wakes the thread too; a thread that has ended closes the socket.
+        with contextlib.suppress(OSError):
             self._wake_write.send(b"\0")
 
     def _run(self) -> None:
@@ -155,6 +161,8 @@
             connections, self._connections = self._connections, []
         for item in connections:
             self._release(item)
+        self._wake_read.close()
+        self._wake_write.close()
 
     def _discard(self, item: LingeringConnection) -> None:
         """Drop what the peer has sent, and record whether the connection is over."""
--- a/tests/utils/test_closing.py
+++ b/tests/utils/test_closing.py
@@ -1,5 +1,6 @@
 """Tests that a close loses nothing of what was written before it."""
 
+import os
 import socket
 import threading
 import time
@@ -33,11 +34,14 @@
         self.is_closed = threading.Event()
 
     def close(self):
+        self.close_with(self.closer)
+
+    def close_with(self, closer):
         def release():
             self.connection.close()
             self.is_closed.set()
 
-        self.closer.close(self.connection, release)
+        closer.close(self.connection, release)
 
     def write(self, data=MESSAGE):
         self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * len(data))
@@ -108,6 +112,16 @@
         self.closer.__exit__()
         self.assertTrue(self.is_closed.wait(20))
 
+    def test_nothing_stays_open_after_the_end(self):
+        """Each server kept two sockets, until tests had none below 1,024 left."""
+        before = set(os.listdir("/proc/self/fd"))
+        closer = LingeringCloser(self.clock)
+        with closer:
+            pass
+        wait_for(lambda: set(os.listdir("/proc/self/fd")) <= before, "the end")
+        self.close_with(closer)
+        self.assertTrue(self.is_closed.is_set())
+
 
 class CountTest(TestCase):
     def test_system_that_does_not_tell_what_is_unacknowledged(self):
