--- a/damaskdyke/utils/reachability.py
+++ b/damaskdyke/utils/reachability.py
@@ -95,24 +95,20 @@
                 is_unanswered = is_awaiting_answer(connection)
             except OSError:
                 # It is closed.
-                is_unanswered = None
-            if is_unanswered and since is not None:
-                if now - since < MAX_UNANSWERED_MS:
-                    continue
-                self._end(connection, now - since)
-                is_unanswered = None
-            self._record(connection, is_unanswered, now)
-
-    def _record(
-        self, connection: socket.socket, is_unanswered: bool | None, now: Millis
-    ) -> None:
-        """Record whether a peer answers, ``None`` to forget its connection."""
-        with self._lock:
-            if is_unanswered is None:
-                self._unanswered.pop(connection, None)
-            else:
+                self._forget(connection)
+                continue
+            if is_unanswered == (since is not None):
+                if is_unanswered and now - since >= MAX_UNANSWERED_MS:
+                    self._end(connection, now - since)
+                    self._forget(connection)
+                continue
+            with self._lock:
                 self._unanswered[connection] = now if is_unanswered else None
 
+    def _forget(self, connection: socket.socket) -> None:
+        with self._lock:
+            self._unanswered.pop(connection, None)
+
     def _end(self, connection: socket.socket, silent_ms: int) -> None:
         """Shut a connection down; whoever reads or writes it finds it ended."""
         self.lost_count += 1
