--- a/tests/catalogue/test_takeover.py
+++ b/tests/catalogue/test_takeover.py
@@ -7,7 +7,7 @@
 from damaskdyke.catalogue.follower import Follower
 from damaskdyke.catalogue.reading import STARTUP_DELAY_MS, ReadingRole
 from damaskdyke.catalogue.state import CatalogueState
-from damaskdyke.conf.vm import DEFAULT_BOUNDS, StoreSettings, VmSettings
+from damaskdyke.conf.vm import DEFAULT_BOUNDS
 from damaskdyke.core.clock import Clock
 from damaskdyke.fleet.gen.fleet.Relay import Processor
 from damaskdyke.fleet.gossip import GossipChannel
@@ -22,6 +22,7 @@
 from damaskdyke.testbed.processes import wait_for
 from damaskdyke.testbed.store import StoreStandIn
 from tests.catalogue.test_state import make_config
+from tests.fleet.settings import make_settings
 
 GOSSIP_PORT = 17_710
 RELAY_PORT = 17_711
@@ -30,22 +31,13 @@
 class CatalogueProxy(ExitStack):
     """The part of a proxy that follows the catalogue."""
 
-    def __init__(self, ip, zone, seed, store):
+    def __init__(self, network, number, zone, store):
         super().__init__()
-        settings = VmSettings(
-            ip,
-            ip,
-            zone,
-            "",
-            "",
-            GOSSIP_PORT,
-            RELAY_PORT,
-            (seed,),
-            StoreSettings(store.address),
-            DEFAULT_BOUNDS,
+        settings = make_settings(
+            network, number, zone, GOSSIP_PORT, RELAY_PORT, store.address
         )
         clock, traffic = Clock(), Traffic()
-        members = FleetMembers(ip, zone)
+        members = FleetMembers(settings.ip, zone)
         self.state = CatalogueState(clock, StoreDecoder())
         self.gossip = GossipChannel(settings, Clock().now(), members, clock)
         self.follower = Follower(
@@ -63,7 +55,9 @@
         self.gossip.on_revision = self.follower.record_revision
         self.follower.on_reading = self.gossip.announce
         relay = PeerServer(
-            f"{ip}:{RELAY_PORT}", Processor(RelayHandler(self.state, clock)), traffic
+            f"{settings.ip}:{RELAY_PORT}",
+            Processor(RelayHandler(self.state, clock)),
+            traffic,
         )
         for part in (relay, self.gossip, self.follower):
             self.enter_context(part)
@@ -78,9 +72,8 @@
         network = self.enterContext(reserve_network())
         store.put("op/config", make_config(1))
         store.put("servers/u1", instance.make_entry())
-        seed = f"{network}.1"
         proxies = [
-            self.enterContext(CatalogueProxy(f"{network}.{n}", "a", seed, store))
+            self.enterContext(CatalogueProxy(network, n, "a", store))
             for n in range(1, 7)
         ]
         wait_for(
--- a/tests/fleet/test_quarantine.py
+++ b/tests/fleet/test_quarantine.py
@@ -6,7 +6,6 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from damaskdyke.conf.vm import DEFAULT_BOUNDS, StoreSettings, VmSettings
 from damaskdyke.core.clock import Clock, ManualClock
 from damaskdyke.dispatch.quarantine import QuarantineState
 from damaskdyke.fleet import quarantine
@@ -18,6 +17,7 @@
 from damaskdyke.testbed.instance import InstanceStandIn
 from damaskdyke.testbed.networks import reserve_network
 from damaskdyke.testbed.processes import wait_for
+from tests.fleet.settings import make_settings
 
 GOSSIP_PORT = 17_712
 FINGERPRINT = bytes(range(16))
@@ -31,18 +31,7 @@
 
     def start(self, number, zone):
         ip = f"{self.network}.{number}"
-        settings = VmSettings(
-            ip,
-            ip,
-            zone,
-            "",
-            "",
-            GOSSIP_PORT,
-            0,
-            (f"{self.network}.1",),
-            StoreSettings(""),
-            DEFAULT_BOUNDS,
-        )
+        settings = make_settings(self.network, number, zone, GOSSIP_PORT)
         clock = Clock()
         gossip = GossipChannel(settings, number, FleetMembers(ip, zone), clock)
         exchange = QuarantineExchange(clock, gossip)
--- a/tests/fleet/test_zone_rates.py
+++ b/tests/fleet/test_zone_rates.py
@@ -3,7 +3,6 @@
 import unittest
 from unittest import mock
 
-from damaskdyke.conf.vm import DEFAULT_BOUNDS, StoreSettings, VmSettings
 from damaskdyke.core.clock import Clock
 from damaskdyke.fleet.gen.fleet.ttypes import News, WorkspaceRate
 from damaskdyke.fleet.gossip import GossipChannel
@@ -22,6 +21,7 @@
 )
 from damaskdyke.testbed.networks import reserve_network
 from damaskdyke.testbed.processes import wait_for
+from tests.fleet.settings import make_settings
 
 GOSSIP_PORT = 17_710
 
@@ -60,18 +60,7 @@
 
     def start(self, number, zone):
         ip = f"{self.network}.{number}"
-        settings = VmSettings(
-            ip,
-            ip,
-            zone,
-            "",
-            "",
-            GOSSIP_PORT,
-            0,
-            (f"{self.network}.1",),
-            StoreSettings(""),
-            DEFAULT_BOUNDS,
-        )
+        settings = make_settings(self.network, number, zone, GOSSIP_PORT)
         gossip = GossipChannel(settings, number, FleetMembers(ip, zone), self.clock)
         quotas = RecordingQuotas()
         exchange = ZoneRateExchange(gossip, quotas, self.clock)
